--- /dev/null
+++ b/core/src/utils.rs
@@ -0,0 +1,67 @@
+//! Macros shared by the modules of this crate.
+
+/// Declares data types with the derives that almost all of them need.
+///
+/// The set is `Clone, Debug, PartialEq, Eq, Serialize, Deserialize`; further derives go on the
+/// item as usual.
+macro_rules! plain_data {
+    ($($(#[$meta:meta])* $vis:vis $keyword:ident $name:ident { $($body:tt)* })+) => {
+        $(
+            #[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+            $(#[$meta])*
+            $vis $keyword $name { $($body)* }
+        )+
+    };
+}
+
+/// Declares names as shared strings, so that a clone copies a pointer.
+macro_rules! string_id {
+    ($($(#[$meta:meta])* $name:ident;)+) => {
+        $(
+            $(#[$meta])*
+            #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+            #[derive(serde::Serialize, serde::Deserialize)]
+            #[serde(transparent)]
+            pub struct $name(std::sync::Arc<str>);
+
+            impl $name {
+                /// Returns the name as text.
+                #[must_use]
+                pub fn as_str(&self) -> &str {
+                    &self.0
+                }
+            }
+
+            impl From<&str> for $name {
+                fn from(text: &str) -> Self {
+                    Self(text.into())
+                }
+            }
+
+            impl std::fmt::Display for $name {
+                fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+                    formatter.write_str(&self.0)
+                }
+            }
+        )+
+    };
+}
+
+/// Declares numeric newtypes with the derives of a copyable, ordered value.
+macro_rules! number_type {
+    ($($(#[$meta:meta])* $name:ident;)+) => {
+        $(
+            $(#[$meta])*
+            #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+            #[derive(serde::Serialize, serde::Deserialize)]
+            #[serde(transparent)]
+            pub struct $name(pub u64);
+
+            impl std::fmt::Display for $name {
+                fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+                    self.0.fmt(formatter)
+                }
+            }
+        )+
+    };
+}
