Check settings with position and field of each mistake

Cause: a daemon with a misspelt field or a wrong unit would start with a default, and serde stops at the first mistake without a line.

Ruled out: a second table of all fields beside the structs, which would drift from them; a deserializer of our own for positions. Instead each field that serde rejects is reported with its path, replaced by the one of a document without mistakes, and reading goes on.

Change: core/src/document.rs parses JSON with comments, maps paths to line and column and collects problems; settings::read checks names, addresses, zeros, order of spans and ranges. Zero stays allowed where it switches something off. Names are lower-case letters, digits and '-'.

Conclusion: a settings file is accepted only when all of it is valid.

--- a/core/src/config.rs
+++ b/core/src/config.rs
@@ -20,6 +20,9 @@
 pub struct KeyDigest(String);
 
 impl KeyDigest {
+    /// Describes the form of a digest to someone who gave another one.
+    pub const FORM: &'static str = "a SHA-256 digest is 64 hexadecimal digits in lower case";
+
     /// Returns the digest of a key.
     #[must_use]
     pub fn of(key: &str) -> Self {
--- a/core/src/ids.rs
+++ b/core/src/ids.rs
@@ -61,3 +61,30 @@
         pub member: u32,
     }
 }
+
+/// Length of a name in a file. Names stand in addresses, log lines and metrics.
+const MAX_NAME: usize = 64;
+
+/// Checks the length and the characters of a name in a file.
+///
+/// # Errors
+///
+/// Returns a message when the name does not have the form of a name.
+pub fn check_name(name: &str) -> Result<(), String> {
+    if name.is_empty() {
+        return Err("a name must not be empty".to_owned());
+    }
+    if name.len() > MAX_NAME {
+        return Err(format!(
+            "a name has at most {MAX_NAME} characters, this one {}",
+            name.chars().count()
+        ));
+    }
+    let is_allowed = |byte: u8| matches!(byte, b'a'..=b'z' | b'0'..=b'9' | b'-');
+    if !name.bytes().all(is_allowed) || name.starts_with('-') || name.ends_with('-') {
+        return Err(format!(
+            "{name:?} is not a name: lower-case letters, digits and '-' between them"
+        ));
+    }
+    Ok(())
+}
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -12,6 +12,7 @@
 mod utils;
 
 pub mod config;
+pub mod document;
 pub mod effect;
 pub mod event;
 pub mod ids;
--- a/core/src/settings.rs
+++ b/core/src/settings.rs
@@ -1,16 +1,25 @@
 //! Settings of a daemon.
 
+use std::net::SocketAddr;
+
+use serde_json::Value;
 use serde_with::serde_as;
 
 use crate::config::KeyDigest;
+use crate::document::FieldPath;
+use crate::document::FileProblem;
+use crate::document::JsonDocument;
 use crate::ids::DaemonName;
 use crate::ids::DomainName;
 use crate::ids::RegionName;
+use crate::ids::check_name;
 use crate::policy::PolicyKind;
 use crate::units::ByteCount;
 use crate::units::BytesText;
 use crate::units::SpanText;
 use crate::units::TimeSpan;
+use crate::units::format_span;
+use crate::units::parse_span;
 
 /// Settings of one daemon. Fields of `timing` and `limits` that a file leaves out keep their
 /// defaults.
@@ -241,3 +250,207 @@
         }
     }
 }
+
+/// Fields whose value zero switches something off. Zero is a mistake in all others.
+const ZERO_ALLOWED: [&str; 6] = [
+    "balancer_delay",
+    "claim_step",
+    "log_retry",
+    "moves_per_hour",
+    "request_slots",
+    "retry_percent",
+];
+
+/// Pairs of spans in `timing` of which the first has to be below the second, with the reason.
+const SPAN_ORDER: [(&str, &str, &str); 6] = [
+    (
+        "term_renewal",
+        "term",
+        "the term would end between renewals",
+    ),
+    ("clock_margin", "term", "the term would have no time left"),
+    (
+        "lease_renewal",
+        "lease",
+        "leases would end between renewals",
+    ),
+    (
+        "suspicion",
+        "lease",
+        "a lease would end before its worker is suspected",
+    ),
+    (
+        "heartbeat",
+        "daemon_silence",
+        "daemons would not count as live between heartbeats",
+    ),
+    (
+        "call",
+        "reservation",
+        "reservations would lapse before the worker answers",
+    ),
+];
+
+/// Largest gang that the layout of records and plans is made for.
+const MAX_GANG: u32 = 64;
+
+/// Reads the settings of a daemon from JSON with comments and checks them.
+///
+/// # Errors
+///
+/// Returns all mistakes, in the order of the text.
+pub fn read(name: &str, text: &str) -> Result<DaemonSettings, Vec<FileProblem>> {
+    let mut document = JsonDocument::parse(name, text).map_err(|problem| vec![problem])?;
+    let settings = document.read::<DaemonSettings>(&template());
+    if let Some(settings) = &settings {
+        check_names(&mut document, settings);
+        check_addresses(&mut document, settings);
+        check_zeros(&mut document, settings);
+        check_spans(&mut document, settings);
+        check_ranges(&mut document, settings);
+    }
+    let problems = document.into_problems();
+    match settings {
+        Some(settings) if problems.is_empty() => Ok(settings),
+        _ => Err(problems),
+    }
+}
+
+/// Returns settings without mistakes, from which fields that do not fit are replaced.
+fn template() -> Value {
+    serde_json::json!({
+        "daemon": "daemon",
+        "region": "region",
+        "domain": "domain",
+        "caller_address": "127.0.0.1:1",
+        "peer_address": "127.0.0.1:2",
+        "log_address": "127.0.0.1:3",
+        "vms_address": "127.0.0.1:4",
+        "statsd_address": "127.0.0.1:5",
+        "operator_key_sha256": KeyDigest::of(""),
+        "policy": PolicyKind::default(),
+        "timing": TimingSettings::default(),
+        "limits": LimitSettings::default(),
+    })
+}
+
+fn check_names(document: &mut JsonDocument<'_>, settings: &DaemonSettings) {
+    let names = [
+        ("daemon", settings.daemon.as_str()),
+        ("region", settings.region.as_str()),
+        ("domain", settings.domain.as_str()),
+    ];
+    for (field, name) in names {
+        if let Err(message) = check_name(name) {
+            document.report(&FieldPath::default().key(field), message);
+        }
+    }
+    if !settings.operator_key_sha256.is_well_formed() {
+        let path = FieldPath::default().key("operator_key_sha256");
+        document.report(&path, KeyDigest::FORM);
+    }
+}
+
+fn check_addresses(document: &mut JsonDocument<'_>, settings: &DaemonSettings) {
+    let mut seen: Vec<(&str, SocketAddr)> = Vec::new();
+    for (field, text) in addresses(settings) {
+        let path = FieldPath::default().key(field);
+        if document.is_reported(&path) {
+            continue;
+        }
+        let Ok(address) = text.parse::<SocketAddr>() else {
+            let message =
+                format!("{text:?} is not an IP number and port such as \"10.0.0.7:4100\"");
+            document.report(&path, message);
+            continue;
+        };
+        let is_own = field == "caller_address" || field == "peer_address";
+        if address.port() == 0 && !is_own {
+            document.report(&path, "port 0 cannot be connected to");
+        } else if let Some((other, _)) = seen.iter().find(|(_, known)| *known == address) {
+            document.report(
+                &path,
+                format!("{address} is the address of {other} as well"),
+            );
+        } else if address.port() != 0 {
+            seen.push((field, address));
+        }
+    }
+}
+
+fn addresses(settings: &DaemonSettings) -> Vec<(&'static str, &str)> {
+    let mut addresses = vec![
+        ("caller_address", settings.caller_address.as_str()),
+        ("peer_address", settings.peer_address.as_str()),
+        ("log_address", settings.log_address.as_str()),
+        ("vms_address", settings.vms_address.as_str()),
+    ];
+    if let Some(address) = &settings.statsd_address {
+        addresses.push(("statsd_address", address));
+    }
+    addresses
+}
+
+fn check_zeros(document: &mut JsonDocument<'_>, settings: &DaemonSettings) {
+    let sections = [
+        ("timing", serde_json::to_value(&settings.timing)),
+        ("limits", serde_json::to_value(&settings.limits)),
+    ];
+    for (section, value) in sections {
+        let Ok(Value::Object(fields)) = value else {
+            continue;
+        };
+        for (field, value) in &fields {
+            if is_zero(value) && !ZERO_ALLOWED.contains(&field.as_str()) {
+                let path = FieldPath::default().key(section).key(field);
+                document.report(&path, "must not be zero");
+            }
+        }
+    }
+}
+
+fn is_zero(value: &Value) -> bool {
+    value == 0 || value.as_str().is_some_and(|text| text.starts_with("0 "))
+}
+
+fn check_spans(document: &mut JsonDocument<'_>, settings: &DaemonSettings) {
+    let Ok(timing) = serde_json::to_value(&settings.timing) else {
+        return;
+    };
+    let span = |field: &str| {
+        let text = timing[field].as_str().unwrap_or_default();
+        parse_span(text).unwrap_or_default()
+    };
+    for (shorter, longer, reason) in SPAN_ORDER {
+        let path = FieldPath::default().key("timing").key(shorter);
+        let other = FieldPath::default().key("timing").key(longer);
+        let is_known = document.is_reported(&path) || document.is_reported(&other);
+        if !is_known && span(shorter) >= span(longer) {
+            let (value, bound) = (format_span(span(shorter)), format_span(span(longer)));
+            document.report(
+                &path,
+                format!("{value} is not below {longer} ({bound}): {reason}"),
+            );
+        }
+    }
+}
+
+fn check_ranges(document: &mut JsonDocument<'_>, settings: &DaemonSettings) {
+    let limits = &settings.limits;
+    let path = FieldPath::default().key("limits");
+    if limits.gang_members > MAX_GANG {
+        let message = format!("{} is above {MAX_GANG}", limits.gang_members);
+        document.report(&path.key("gang_members"), message);
+    }
+    if limits.retry_percent > 100 {
+        let message = format!("{} is above 100", limits.retry_percent);
+        document.report(&path.key("retry_percent"), message);
+    }
+    if limits.batch_records > limits.outbox_records {
+        let message = format!(
+            "{} is above outbox_records ({}): a batch could never fill",
+            limits.batch_records, limits.outbox_records
+        );
+        document.report(&path.key("batch_records"), message);
+    }
+}
