Check team files as a whole and name what a change does

Cause: a bad team file has to be refused before anything is published, with every mistake of every file in one run.

Ruled out: a check of capacity against live workers here; the daemon that takes the change knows them. The bounds here are the largest worker of the deployments, 8 slots less the 2 left to short requests.

Change: collection::check reads files of at most 64 KiB of UTF-8 and checks names, digests, shapes, gangs, times, rules for work that is not repeatable and fields that have no meaning for short requests; teams and keys are unique over all files. difference::difference gives the files to send, the teams to remove and one line for each changed field.

Conclusion: only a collection without mistakes becomes a change.

--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -11,7 +11,9 @@
 #[macro_use]
 mod utils;
 
+pub mod collection;
 pub mod config;
+pub mod difference;
 pub mod document;
 pub mod effect;
 pub mod event;
