Give work without a declared demand one slot

Cause: ServiceSpec.demand fell back to ResourceDemand::default(), which has 0 slots, although the field's own default is one slot. Work without a demand would have taken no slot and fitted on full workers.

Ruled out: one slot in Default itself, because sums start from it.

Change: ResourceDemand::one_slot is the default of the field. The message about a large file no longer names a size, because a reader stops after the bound.

--- a/core/src/collection.rs
+++ b/core/src/collection.rs
@@ -110,8 +110,7 @@
 
 fn check_encoding<'f>(file: &SourceFile<'f>) -> Result<&'f str, FileProblem> {
     if file.bytes.len() > MAX_FILE_BYTES {
-        let (size, bound) = (file.bytes.len(), MAX_FILE_BYTES);
-        let message = format!("the file has {size} bytes, more than {bound}");
+        let message = format!("the file is larger than {MAX_FILE_BYTES} bytes");
         return Err(file_problem(file.name, &message));
     }
     if file.bytes.starts_with(BYTE_ORDER_MARK) {
@@ -130,10 +129,7 @@
 
 /// Returns a team file without mistakes, from which fields that do not fit are replaced.
 fn template() -> Value {
-    let demand = ResourceDemand {
-        slots: 1,
-        ..ResourceDemand::default()
-    };
+    let demand = ResourceDemand::one_slot();
     serde_json::json!({
         "team": "team",
         "key_sha256": KeyDigest::of(""),
@@ -305,11 +301,6 @@
 
 /// Reports fields that have a meaning for jobs only.
 fn check_request(document: &mut JsonDocument<'_>, path: &FieldPath, service: &ServiceSpec) {
-    let plain = ResourceDemand {
-        slots: 1,
-        ..ResourceDemand::default()
-    };
-    let unused = ResourceDemand::default();
     let job_fields = [
         (
             "members",
@@ -318,7 +309,7 @@
         ),
         (
             "demand",
-            service.demand != plain && service.demand != unused,
+            service.demand != ResourceDemand::one_slot(),
             "a short request takes one slot and nothing else",
         ),
         (
--- a/core/src/config.rs
+++ b/core/src/config.rs
@@ -72,6 +72,17 @@
 }
 
 impl ResourceDemand {
+    /// Returns the demand of work that declares none: one slot. `Default` is the empty demand.
+    #[must_use]
+    pub const fn one_slot() -> Self {
+        Self {
+            slots: 1,
+            accelerators: 0,
+            cores: 0,
+            memory_mib: 0,
+        }
+    }
+
     /// Tells whether `self` fits in `free`.
     #[must_use]
     pub const fn fits(&self, free: &ResourceDemand) -> bool {
@@ -160,8 +171,8 @@
     /// Number of members of the gang.
     #[serde(default = "one")]
     pub members: u32,
-    /// What one member takes.
-    #[serde(default)]
+    /// What one member takes; one slot when left out.
+    #[serde(default = "ResourceDemand::one_slot")]
     pub demand: ResourceDemand,
     /// How close together the members have to stand.
     #[serde(default)]
