Add the publishing tool

Cause: team files lie next to their services in a tree and have to be published as one change against the version in force.

Ruled out: following links (a file could come from anywhere or twice); publishing the good files beside a bad one; removing teams without consent, because a folder named by mistake would remove them all.

After a lost answer the tool reads the version in force before it reports the outcome as unknown.

Conclusion: bad input never ends with 0 and sends nothing.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,3 +2,9 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 #![warn(clippy::all)]
+
+pub mod access;
+pub mod client;
+pub mod exit;
+pub mod publish;
+pub mod tree;
--- /dev/null
+++ b/src/publish.rs
@@ -0,0 +1,218 @@
+//! Collects, checks and publishes team files.
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::path::PathBuf;
+
+use argh::FromArgs;
+use indexmap::IndexMap;
+
+use crate::access::AccessKey;
+use crate::access::is_confirmed;
+use crate::client::ClientCommand;
+use crate::client::ClientError;
+use crate::client::ConfigAnswer;
+use crate::client::DaemonClient;
+use crate::exit::ExitStatus;
+use crate::tree;
+use mustardpath_core::collection::CheckBounds;
+use mustardpath_core::collection::SourceFile;
+use mustardpath_core::collection::check;
+use mustardpath_core::config::TeamFile;
+use mustardpath_core::difference::ConfigDifference;
+use mustardpath_core::difference::difference;
+use mustardpath_core::ids::ConfigVersion;
+use mustardpath_core::ids::TeamName;
+
+/// Collects the team files (*.mustardpath.json) of a folder, checks them as a whole and publishes
+/// them. Nothing is published when any file is bad.
+#[derive(FromArgs, Debug)]
+#[argh(
+    example = "{command_name} check services\n\
+        {command_name} check services --daemon 10.0.0.7:4100 --key-file operator.key\n\
+        {command_name} apply services --daemon 10.0.0.7:4100 --operator linh",
+    note = "The operator key is read from MUSTARDPATH_KEY or from the file given with --key-file.",
+    error_code(1, "the arguments are wrong; nothing was sent"),
+    error_code(2, "a file is bad; nothing was sent"),
+    error_code(3, "the daemon refused; nothing has changed"),
+    error_code(4, "no connection to the daemon; nothing was sent"),
+    error_code(5, "the answer was lost; the change may be in force now or later"),
+    error_code(7, "the removal of teams was not confirmed; nothing was sent")
+)]
+pub struct PublishArgs {
+    #[argh(subcommand)]
+    command: PublishCommand,
+}
+
+#[derive(FromArgs, Debug)]
+#[argh(subcommand)]
+enum PublishCommand {
+    Check(CheckArgs),
+    Apply(ApplyArgs),
+}
+
+/// Checks the files; with --daemon shows what would change.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "check")]
+struct CheckArgs {
+    /// folder that holds the team files, at any depth
+    #[argh(positional)]
+    dir: PathBuf,
+    /// IP number and port of a daemon or of the load balancer
+    #[argh(option)]
+    daemon: Option<SocketAddr>,
+    /// file that holds the operator key
+    #[argh(option)]
+    key_file: Option<PathBuf>,
+}
+
+/// Publishes the files against the version in force.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "apply")]
+struct ApplyArgs {
+    /// folder that holds the team files, at any depth
+    #[argh(positional)]
+    dir: PathBuf,
+    /// IP number and port of a daemon or of the load balancer
+    #[argh(option)]
+    daemon: SocketAddr,
+    /// who publishes; shown to an operator whose change comes at the same time
+    #[argh(option)]
+    operator: String,
+    /// file that holds the operator key
+    #[argh(option)]
+    key_file: Option<PathBuf>,
+    /// remove teams that have no file without asking
+    #[argh(switch)]
+    yes: bool,
+}
+
+#[derive(serde::Serialize)]
+struct ChangeBody<'c> {
+    base: ConfigVersion,
+    upsert: &'c [TeamFile],
+    remove: &'c [TeamName],
+    operator: &'c str,
+}
+
+#[derive(serde::Deserialize)]
+struct ChangeAnswer {
+    version: ConfigVersion,
+}
+
+type TeamFiles = IndexMap<TeamName, TeamFile>;
+
+/// Runs the tool.
+#[must_use]
+pub fn run(args: &PublishArgs) -> ExitStatus {
+    let result = match &args.command {
+        PublishCommand::Check(args) => run_check(args),
+        PublishCommand::Apply(args) => run_apply(args),
+    };
+    result.unwrap_or_else(|error| {
+        eprintln!("{error}");
+        error.exit()
+    })
+}
+
+fn run_check(args: &CheckArgs) -> Result<ExitStatus, ClientError> {
+    let wanted = read_files(&args.dir)?;
+    println!("{} teams, no mistakes", wanted.len());
+    if let Some(address) = args.daemon {
+        let client = connect(address, args.key_file.as_deref())?;
+        let in_force = client.config()?;
+        show(&in_force, &difference(&in_force.teams, &wanted));
+    }
+    Ok(ExitStatus::Done)
+}
+
+fn run_apply(args: &ApplyArgs) -> Result<ExitStatus, ClientError> {
+    let wanted = read_files(&args.dir)?;
+    let client = connect(args.daemon, args.key_file.as_deref())?;
+    let in_force = client.config()?;
+    let change = difference(&in_force.teams, &wanted);
+    show(&in_force, &change);
+    if change.is_empty() {
+        return Ok(ExitStatus::Done);
+    }
+    if !change.remove.is_empty() && !args.yes && !is_confirmed("Remove the teams marked with -?") {
+        eprintln!("not published: removing teams needs a yes or the option --yes");
+        return Ok(ExitStatus::Declined);
+    }
+    let version = publish(&client, &in_force, &change, &args.operator)
+        .or_else(|error| find_published(&client, &in_force, &wanted, error))?;
+    println!("published as version {version}");
+    Ok(ExitStatus::Done)
+}
+
+fn read_files(dir: &Path) -> Result<TeamFiles, ClientError> {
+    let files = tree::collect(dir).map_err(|lines| bad_input(&lines))?;
+    let sources: Vec<_> = files
+        .iter()
+        .map(|(name, bytes)| SourceFile { name, bytes })
+        .collect();
+    check(&sources, &CheckBounds::default()).map_err(|problems| {
+        let lines: Vec<_> = problems.iter().map(ToString::to_string).collect();
+        bad_input(&lines)
+    })
+}
+
+fn bad_input(lines: &[String]) -> ClientError {
+    let count = lines.len();
+    ClientError::BadInput(format!("{}\n{count} mistakes", lines.join("\n")))
+}
+
+fn connect(address: SocketAddr, file: Option<&Path>) -> Result<DaemonClient, ClientError> {
+    let key = AccessKey::read(file).map_err(ClientError::BadInput)?;
+    Ok(DaemonClient::new(address, Some(key)))
+}
+
+fn show(in_force: &ConfigAnswer, change: &ConfigDifference) {
+    if change.is_empty() {
+        println!(
+            "nothing to change: version {} is the same",
+            in_force.version
+        );
+        return;
+    }
+    println!("changes against version {}:", in_force.version);
+    for line in change.summary(&in_force.teams) {
+        println!("{line}");
+    }
+}
+
+fn publish(
+    client: &DaemonClient,
+    in_force: &ConfigAnswer,
+    change: &ConfigDifference,
+    operator: &str,
+) -> Result<ConfigVersion, ClientError> {
+    let body = ChangeBody {
+        base: in_force.version,
+        upsert: &change.upsert,
+        remove: &change.remove,
+        operator,
+    };
+    let body =
+        serde_json::to_vec(&body).map_err(|error| ClientError::BadInput(error.to_string()))?;
+    let answer: ChangeAnswer = client
+        .send(&ClientCommand::post("/v1/config", &body))?
+        .read()?;
+    Ok(answer.version)
+}
+
+/// Looks whether a change whose outcome is unknown is in force.
+fn find_published(
+    client: &DaemonClient,
+    before: &ConfigAnswer,
+    wanted: &TeamFiles,
+    error: ClientError,
+) -> Result<ConfigVersion, ClientError> {
+    if error.exit() != ExitStatus::Unknown {
+        return Err(error);
+    }
+    match client.config() {
+        Ok(now) if now.version > before.version && now.teams == *wanted => Ok(now.version),
+        _ => Err(error),
+    }
+}
--- /dev/null
+++ b/tests/common/mod.rs
@@ -0,0 +1,180 @@
+//! A stand-in for a daemon's HTTP interface that answers from a table and keeps what it received.
+
+// Each test binary uses its own part of this module.
+#![allow(dead_code)]
+
+use std::io::Read;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::path::PathBuf;
+use std::process::Command;
+use std::process::Output;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::mpsc::Sender;
+use std::thread::JoinHandle;
+
+use rouille::Request;
+use rouille::Response;
+use rouille::Server;
+
+/// One request as the stand-in received it.
+#[derive(Clone, Debug)]
+pub struct SeenRequest {
+    pub route: String,
+    pub headers: Vec<(String, String)>,
+    pub body: Vec<u8>,
+}
+
+impl SeenRequest {
+    pub fn header(&self, name: &str) -> Option<&str> {
+        let found = self
+            .headers
+            .iter()
+            .find(|(key, _)| key.eq_ignore_ascii_case(name));
+        found.map(|(_, value)| value.as_str())
+    }
+
+    pub fn json(&self) -> serde_json::Value {
+        serde_json::from_slice(&self.body).expect("the body is JSON")
+    }
+}
+
+/// Answers by route, such as `GET /v1/config`, in turn; the last one stays.
+type AnswerTable = Vec<(&'static str, Vec<(u16, String)>)>;
+
+/// A server on a loopback port that the system chooses.
+pub struct StandinDaemon {
+    pub address: SocketAddr,
+    seen: Arc<Mutex<Vec<SeenRequest>>>,
+    stop: Sender<()>,
+    thread: Option<JoinHandle<()>>,
+}
+
+impl StandinDaemon {
+    pub fn start(answers: AnswerTable) -> Self {
+        let seen = Arc::new(Mutex::new(Vec::new()));
+        let log = Arc::clone(&seen);
+        let table = Mutex::new(answers);
+        let server = Server::new("127.0.0.1:0", move |request| answer(request, &table, &log))
+            .expect("a loopback port is free");
+        let address = server.server_addr();
+        let (thread, stop) = server.stoppable();
+        Self {
+            address,
+            seen,
+            stop,
+            thread: Some(thread),
+        }
+    }
+
+    /// Returns the requests of a route.
+    pub fn seen(&self, route: &str) -> Vec<SeenRequest> {
+        let seen = self.seen.lock().expect("no thread panicked");
+        let matching = seen
+            .iter()
+            .filter(|request| request.route.starts_with(route));
+        matching.cloned().collect()
+    }
+}
+
+impl Drop for StandinDaemon {
+    fn drop(&mut self) {
+        let _ = self.stop.send(());
+        if let Some(thread) = self.thread.take() {
+            let _ = thread.join();
+        }
+    }
+}
+
+fn answer(
+    request: &Request,
+    table: &Mutex<AnswerTable>,
+    log: &Mutex<Vec<SeenRequest>>,
+) -> Response {
+    let route = format!("{} {}", request.method(), request.raw_url());
+    let mut body = Vec::new();
+    let mut data = request.data().expect("the body is read once");
+    data.read_to_end(&mut body).expect("the body is complete");
+    let headers = request
+        .headers()
+        .map(|(name, value)| (name.to_owned(), value.to_owned()))
+        .collect();
+    let mut table = table.lock().expect("no thread panicked");
+    let entry = table
+        .iter_mut()
+        .find(|(prefix, _)| route.starts_with(prefix));
+    let (status, text) = match entry {
+        Some((_, answers)) if answers.len() > 1 => answers.remove(0),
+        Some((_, answers)) => answers[0].clone(),
+        None => (404, problem("not_found", 404, "not_run", &route)),
+    };
+    log.lock().expect("no thread panicked").push(SeenRequest {
+        route,
+        headers,
+        body,
+    });
+    Response::from_data("application/json", text).with_status_code(status)
+}
+
+/// Returns an error answer in the problem-details format.
+pub fn problem(title: &str, status: u16, run: &str, detail: &str) -> String {
+    serde_json::json!({
+        "type": "about:blank", "title": title, "status": status, "detail": detail, "run": run,
+    })
+    .to_string()
+}
+
+/// Runs a tool with a key and without a terminal.
+pub fn run(program: &str, arguments: &[&str]) -> Output {
+    Command::new(program)
+        .args(arguments)
+        .env("MUSTARDPATH_KEY", "operator-test-key")
+        .env_remove("MUSTARDPATH_DAEMON")
+        .env_remove("MUSTARDPATH_TEAM")
+        .stdin(std::process::Stdio::null())
+        .output()
+        .expect("the tool starts")
+}
+
+pub fn stdout(output: &Output) -> String {
+    String::from_utf8_lossy(&output.stdout).into_owned()
+}
+
+pub fn stderr(output: &Output) -> String {
+    String::from_utf8_lossy(&output.stderr).into_owned()
+}
+
+/// A folder that is removed at the end of the test.
+pub struct TestFolder(PathBuf);
+
+impl TestFolder {
+    pub fn new(name: &str) -> Self {
+        let path = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
+        let _ = std::fs::remove_dir_all(&path);
+        std::fs::create_dir_all(&path).expect("the folder can be made");
+        Self(path)
+    }
+
+    pub fn write(&self, name: &str, text: &str) -> PathBuf {
+        let path = self.0.join(name);
+        let parent = path.parent().expect("the file has a folder");
+        std::fs::create_dir_all(parent).expect("the folder can be made");
+        std::fs::write(&path, text).expect("the file can be written");
+        path
+    }
+
+    pub fn path(&self) -> &Path {
+        &self.0
+    }
+
+    pub fn text(&self) -> &str {
+        self.0.to_str().expect("the path is UTF-8")
+    }
+}
+
+impl Drop for TestFolder {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.0);
+    }
+}
--- /dev/null
+++ b/tests/publish.rs
@@ -0,0 +1,218 @@
+//! The publishing tool against a stand-in daemon: what it sends, and when it sends nothing.
+
+mod common;
+
+use std::os::unix::fs::symlink;
+use std::process::Output;
+
+use serde_json::Value;
+use serde_json::json;
+
+use crate::common::StandinDaemon;
+use crate::common::TestFolder;
+use crate::common::problem;
+use crate::common::run;
+use crate::common::stderr;
+use crate::common::stdout;
+use mustardpath_core::config::KeyDigest;
+
+fn publish(arguments: &[&str]) -> Output {
+    run(env!("CARGO_BIN_EXE_mustardpath-publish"), arguments)
+}
+
+fn team(name: &str, weight: u32) -> Value {
+    json!({
+        "team": name,
+        "key_sha256": KeyDigest::of(name),
+        "weight": weight,
+        "services": { "berth-plan": { "work": "job", "run_time": "2 h" } },
+    })
+}
+
+fn config(version: u64, teams: &[Value]) -> (u16, String) {
+    let entry = |team: &Value| {
+        (
+            team["team"].as_str().unwrap_or_default().to_owned(),
+            team.clone(),
+        )
+    };
+    let teams: serde_json::Map<_, _> = teams.iter().map(entry).collect();
+    (
+        200,
+        json!({ "version": version, "teams": teams }).to_string(),
+    )
+}
+
+fn apply(folder: &TestFolder, daemon: &StandinDaemon, more: &[&str]) -> Output {
+    let address = daemon.address.to_string();
+    let mut arguments = vec![
+        "apply",
+        folder.text(),
+        "--daemon",
+        &address,
+        "--operator",
+        "linh",
+    ];
+    arguments.extend(more);
+    publish(&arguments)
+}
+
+/// Guards against a change that is sent against another version than the one shown, or with
+/// files that did not change.
+#[test]
+fn apply_sends_the_difference_to_the_version_read() {
+    let folder = TestFolder::new("publish-difference");
+    folder.write("a/quay.mustardpath.json", &team("quay", 3).to_string());
+    folder.write("b/pier.mustardpath.json", &team("pier", 1).to_string());
+    folder.write("b/notes.json", "not a team file");
+    let daemon = StandinDaemon::start(vec![
+        (
+            "GET /v1/config",
+            vec![config(7, &[team("quay", 2), team("pier", 1)])],
+        ),
+        (
+            "POST /v1/config",
+            vec![(200, json!({ "version": 8 }).to_string())],
+        ),
+    ]);
+    let output = apply(&folder, &daemon, &[]);
+    assert_eq!(output.status.code(), Some(0), "{}", stderr(&output));
+    let expected = "changes against version 7:\n~ quay: weight 2 -> 3\npublished as version 8\n";
+    assert_eq!(stdout(&output), expected);
+    let sent = daemon.seen("POST /v1/config");
+    assert_eq!(sent.len(), 1);
+    assert_eq!(
+        sent[0].header("authorization"),
+        Some("Bearer operator-test-key")
+    );
+    let body = sent[0].json();
+    assert_eq!(body["base"], 7);
+    assert_eq!(body["operator"], "linh");
+    assert_eq!(body["remove"], json!([]));
+    assert_eq!(body["upsert"].as_array().map(Vec::len), Some(1));
+    assert_eq!(body["upsert"][0]["weight"], 3);
+}
+
+/// Guards against a publication of the good files beside a bad one, and against an exit code that
+/// lets a script go on.
+#[test]
+fn nothing_is_sent_when_any_file_is_bad() {
+    let folder = TestFolder::new("publish-bad");
+    folder.write("quay.mustardpath.json", &team("quay", 3).to_string());
+    folder.write("pier.mustardpath.json", &team("pier", 0).to_string());
+    let daemon = StandinDaemon::start(vec![("GET /v1/config", vec![config(7, &[])])]);
+    let output = apply(&folder, &daemon, &["--yes"]);
+    assert_eq!(output.status.code(), Some(2));
+    let message = "pier.mustardpath.json:1:";
+    assert!(stderr(&output).starts_with(message), "{}", stderr(&output));
+    assert!(daemon.seen("").is_empty());
+    assert_eq!(publish(&["check", folder.text()]).status.code(), Some(2));
+}
+
+/// Guards against a folder named by mistake that removes all teams.
+#[test]
+fn removal_needs_consent_and_an_empty_folder_is_refused() {
+    let folder = TestFolder::new("publish-removal");
+    let daemon = StandinDaemon::start(vec![
+        (
+            "GET /v1/config",
+            vec![config(7, &[team("quay", 2), team("pier", 1)])],
+        ),
+        (
+            "POST /v1/config",
+            vec![(200, json!({ "version": 8 }).to_string())],
+        ),
+    ]);
+    let output = apply(&folder, &daemon, &["--yes"]);
+    assert_eq!(output.status.code(), Some(2));
+    folder.write("quay.mustardpath.json", &team("quay", 2).to_string());
+    let output = apply(&folder, &daemon, &[]);
+    assert_eq!(output.status.code(), Some(7), "{}", stderr(&output));
+    assert!(daemon.seen("POST").is_empty());
+    let output = apply(&folder, &daemon, &["--yes"]);
+    assert_eq!(output.status.code(), Some(0), "{}", stderr(&output));
+    assert_eq!(daemon.seen("POST")[0].json()["remove"], json!(["pier"]));
+}
+
+/// Guards against exit codes that do not tell a refusal, a lost answer and a missing daemon apart.
+#[test]
+fn exit_codes_say_whether_the_change_is_in_force() {
+    let folder = TestFolder::new("publish-exit");
+    folder.write("quay.mustardpath.json", &team("quay", 3).to_string());
+    let lost = problem(
+        "another change came first",
+        409,
+        "not_run",
+        "minh published 8",
+    );
+    let cases = [
+        (409, lost, config(7, &[]), 3),
+        (
+            504,
+            problem("outcome unknown", 504, "may_have_run", ""),
+            config(7, &[]),
+            5,
+        ),
+        (500, "no JSON".to_owned(), config(7, &[]), 5),
+        (500, "no JSON".to_owned(), config(8, &[team("quay", 3)]), 0),
+    ];
+    for (status, body, later, expected) in cases {
+        let daemon = StandinDaemon::start(vec![
+            ("GET /v1/config", vec![config(7, &[]), later]),
+            ("POST /v1/config", vec![(status, body.clone())]),
+        ]);
+        let output = apply(&folder, &daemon, &[]);
+        assert_eq!(
+            output.status.code(),
+            Some(expected),
+            "{body}: {}",
+            stderr(&output)
+        );
+    }
+    let unused = std::net::TcpListener::bind("127.0.0.1:0").expect("a port is free");
+    let address = unused.local_addr().expect("the port is known").to_string();
+    drop(unused);
+    let output = publish(&["check", folder.text(), "--daemon", &address]);
+    assert_eq!(output.status.code(), Some(4), "{}", stderr(&output));
+}
+
+/// Guards against team files that come from outside the tree or are read twice.
+#[test]
+fn links_out_of_the_tree_are_refused() {
+    let outside = TestFolder::new("publish-outside");
+    let target = outside.write("pier.mustardpath.json", &team("pier", 1).to_string());
+    let folder = TestFolder::new("publish-links");
+    let inside = folder.write("a/quay.mustardpath.json", &team("quay", 1).to_string());
+    symlink(inside, folder.path().join("quay.mustardpath.json")).expect("a link can be made");
+    symlink(folder.path().join("a"), folder.path().join("b")).expect("a link can be made");
+    let output = publish(&["check", folder.text()]);
+    assert_eq!(
+        stdout(&output),
+        "1 teams, no mistakes\n",
+        "{}",
+        stderr(&output)
+    );
+
+    let links = [
+        ("pier.mustardpath.json", target.as_path()),
+        ("c", outside.path()),
+    ];
+    for (name, target) in links {
+        let link = folder.path().join(name);
+        symlink(target, &link).expect("a link can be made");
+        let output = publish(&["check", folder.text()]);
+        assert_eq!(output.status.code(), Some(2), "{name}");
+        let message = format!("{name}: a link to {}, out of the tree", target.display());
+        assert!(stderr(&output).starts_with(&message), "{}", stderr(&output));
+        std::fs::remove_file(&link).expect("the link can be removed");
+    }
+    let deep = "d/".repeat(33);
+    folder.write(&format!("{deep}x.mustardpath.json"), "{}");
+    let output = publish(&["check", folder.text()]);
+    assert_eq!(output.status.code(), Some(2));
+    assert!(
+        stderr(&output).contains("more than 32 folders deep"),
+        "{}",
+        stderr(&output)
+    );
+}
