Add the ledger, which every daemon derives from the log

Cause: daemons have to agree on jobs, keys, terms, configuration and failure domains without a store of their own.

Heartbeats carry take-outs that are not on record yet, and silent workers.

--- /dev/null
+++ b/core/src/context.rs
@@ -0,0 +1,73 @@
+//! What one step of the reducer works with: the time of the event and the effects so far.
+
+use crate::effect::CallerAnswer;
+use crate::effect::ControlEffect;
+use crate::effect::LogPart;
+use crate::effect::MetricName;
+use crate::effect::NoteLevel;
+use crate::ids::CallerId;
+use crate::kind::ErrorKind;
+use crate::kind::FailureReport;
+use crate::kind::RunStatus;
+use crate::units::ClockTime;
+
+/// The time of the event and the effects that it has caused so far.
+#[derive(Debug)]
+pub struct StepContext<'a> {
+    /// The time of the event.
+    pub at: ClockTime,
+    effects: &'a mut Vec<ControlEffect>,
+}
+
+impl<'a> StepContext<'a> {
+    /// Creates the context of one event.
+    pub fn new(at: ClockTime, effects: &'a mut Vec<ControlEffect>) -> Self {
+        Self { at, effects }
+    }
+
+    /// Adds an effect.
+    pub fn push(&mut self, effect: ControlEffect) {
+        self.effects.push(effect);
+    }
+
+    /// Answers a caller.
+    pub fn reply(&mut self, caller: CallerId, reply: CallerAnswer) {
+        self.push(ControlEffect::Reply { caller, reply });
+    }
+
+    /// Answers a caller with an error.
+    pub fn fail(&mut self, caller: CallerId, kind: ErrorKind, detail: impl Into<String>) {
+        match kind.answer().run {
+            RunStatus::NotRun => self.count(MetricName::Refused, 1),
+            RunStatus::MayHaveRun => self.count(MetricName::OutcomesUnknown, 1),
+            RunStatus::HasRun => {}
+        }
+        self.reply(
+            caller,
+            CallerAnswer::Failure(FailureReport::new(kind, detail)),
+        );
+    }
+
+    /// Adds to a counter or sets a gauge.
+    pub fn count(&mut self, metric: MetricName, amount: u64) {
+        self.push(ControlEffect::Count { metric, amount });
+    }
+
+    /// Writes a log line about a change of state.
+    pub fn info(&mut self, part: LogPart, line: impl Into<String>) {
+        self.push(ControlEffect::Note {
+            part,
+            level: NoteLevel::Info,
+            line: line.into(),
+        });
+    }
+
+    /// Writes a log line that an operator may have to look at.
+    pub fn warn(&mut self, part: LogPart, line: impl Into<String>) {
+        self.push(ControlEffect::Note {
+            part,
+            level: NoteLevel::Warn,
+            line: line.into(),
+        });
+    }
+}
--- a/core/src/effect.rs
+++ b/core/src/effect.rs
@@ -25,6 +25,15 @@
 use crate::worker::WorkerCommand;
 
 plain_data! {
+    /// A take-out of a failure domain that is not on record yet.
+    pub struct DomainHold {
+        /// The failure domain.
+        pub domain: DomainName,
+        /// The domain's version that the take-out was made against. A record with a higher
+        /// version ends the hold.
+        pub base: u64,
+    }
+
     /// What one daemon tells the others about itself every 2 s.
     pub struct PeerHeartbeat {
         /// Number that changes when the daemon's process restarts.
@@ -39,9 +48,13 @@
         pub next: LogOffset,
         /// The configuration in force at this daemon.
         pub config: ConfigVersion,
-        /// Failure domains that it holds out of use, recorded or not.
+        /// Failure domains that it keeps out of use, recorded or not.
         pub held_domains: Vec<DomainName>,
-        /// Workers of its share whose lease has lapsed without an answer.
+        /// Take-outs that are not on record yet.
+        pub holds: Vec<DomainHold>,
+        /// Workers of its share that have not answered for the suspicion time.
+        pub silent_workers: Vec<WorkerName>,
+        /// Workers of its share whose lease is certain to have lapsed without an answer.
         pub lost_workers: Vec<WorkerName>,
         /// Whether it is stopping.
         pub draining: bool,
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -12,10 +12,12 @@
 mod utils;
 
 pub mod config;
+pub mod context;
 pub mod effect;
 pub mod event;
 pub mod ids;
 pub mod kind;
+pub mod ledger;
 pub mod policy;
 pub mod record;
 pub mod reducer;
