--- /dev/null
+++ b/core/src/call.rs
@@ -0,0 +1,175 @@
+//! Calls to workers that are in flight, and what each answer is for.
+
+use indexmap::IndexMap;
+
+use crate::context::StepContext;
+use crate::effect::ControlEffect;
+use crate::event::CallOutcome;
+use crate::gang;
+use crate::ids::CallId;
+use crate::ids::JobId;
+use crate::ids::TaskId;
+use crate::ids::TermNumber;
+use crate::ids::WorkerName;
+use crate::lease;
+use crate::plan;
+use crate::state::DaemonState;
+use crate::worker::WorkerCommand;
+use crate::worker::WorkerReply;
+
+/// What a call is for.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum CallPurpose {
+    /// Renewal of the lease, or the probe of a silent worker.
+    Renew,
+    /// The planner fences the worker.
+    Fence {
+        /// The planner's term.
+        term: TermNumber,
+    },
+    /// A member's reservation.
+    Reserve {
+        /// The task.
+        task: TaskId,
+    },
+    /// A member's start.
+    Start {
+        /// The task.
+        task: TaskId,
+    },
+    /// The stop of an attempt's members on this worker.
+    Stop {
+        /// The job.
+        job: JobId,
+        /// The attempt.
+        attempt: u32,
+    },
+    /// The stop of tasks whose attempt is over; the next renewal shows whether it worked.
+    StopStale,
+    /// The term told again to a worker that may have forgotten it.
+    Refence,
+    /// Ended tasks that the worker may forget.
+    Forget,
+}
+
+/// Calls in flight.
+#[derive(Clone, Debug, Default)]
+pub struct CallTable {
+    next: u64,
+    open: IndexMap<CallId, CallPurpose>,
+}
+
+impl CallTable {
+    /// Returns the number of calls in flight.
+    #[must_use]
+    pub fn open_count(&self) -> usize {
+        self.open.len()
+    }
+}
+
+/// Sends a command to a worker, if the VM list has its address.
+pub fn send(
+    state: &mut DaemonState,
+    worker: &WorkerName,
+    command: WorkerCommand,
+    purpose: CallPurpose,
+    context: &mut StepContext<'_>,
+) {
+    let Some(entry) = state.members.workers.get(worker) else {
+        return;
+    };
+    let address = entry.info.address.clone();
+    let call = CallId(state.calls.next);
+    state.calls.next += 1;
+    state.calls.open.insert(call, purpose);
+    let timing = &state.settings.timing;
+    let timeout = match &command {
+        // The worker may use the whole reclaim time for a checkpoint before it answers.
+        WorkerCommand::Stop {
+            checkpoint: true, ..
+        } => timing.reclaim + timing.call,
+        _ => timing.call,
+    };
+    context.push(ControlEffect::CallWorker {
+        call,
+        worker: worker.clone(),
+        address,
+        command,
+        timeout,
+    });
+}
+
+/// Takes the answer of a call.
+pub fn answered(
+    state: &mut DaemonState,
+    call: CallId,
+    worker: &WorkerName,
+    outcome: &CallOutcome,
+    context: &mut StepContext<'_>,
+) {
+    let Some(purpose) = state.calls.open.swap_remove(&call) else {
+        return;
+    };
+    note_contact(state, worker, &purpose, outcome, context);
+    match (purpose, outcome) {
+        (
+            CallPurpose::Renew,
+            CallOutcome::Reply {
+                reply:
+                    WorkerReply::Renewed {
+                        revision,
+                        tasks,
+                        boot,
+                        ..
+                    },
+            },
+        ) => lease::renewed(state, worker, *revision, *boot, tasks, context),
+        (CallPurpose::Renew, CallOutcome::Undelivered | CallOutcome::Unknown) => {
+            lease::unanswered(state, worker, context);
+        }
+        (CallPurpose::Fence { term }, _) => plan::fenced(state, worker, term, outcome, context),
+        (CallPurpose::Reserve { task }, _) => gang::reserved(state, &task, outcome, context),
+        (CallPurpose::Start { task }, _) => gang::started(state, &task, outcome, context),
+        (CallPurpose::Stop { job, attempt }, _) => {
+            gang::stopped(state, worker, job, attempt, outcome, context);
+        }
+        (
+            CallPurpose::Renew
+            | CallPurpose::StopStale
+            | CallPurpose::Refence
+            | CallPurpose::Forget,
+            _,
+        ) => {}
+    }
+}
+
+/// Any reply shows that the worker is reachable, and may say that it is leaving.
+fn note_contact(
+    state: &mut DaemonState,
+    worker: &WorkerName,
+    purpose: &CallPurpose,
+    outcome: &CallOutcome,
+    context: &mut StepContext<'_>,
+) {
+    let CallOutcome::Reply { reply } = outcome else {
+        return;
+    };
+    let leaving = match reply {
+        WorkerReply::Fenced { leaving, .. } | WorkerReply::Renewed { leaving, .. } => {
+            Some(*leaving)
+        }
+        WorkerReply::Refused {
+            refusal: crate::worker::WorkerRefusal::Leaving,
+        } => Some(true),
+        _ => None,
+    };
+    if let (Some(leaving), Some(entry)) = (leaving, state.members.workers.get_mut(worker))
+        && entry.leaving != leaving
+    {
+        entry.leaving = leaving;
+        state.planner.dirty = true;
+    }
+    if *purpose == CallPurpose::Renew {
+        lease::heard(state, worker, context);
+    }
+}
--- /dev/null
+++ b/core/src/domain.rs
@@ -0,0 +1,350 @@
+//! Failure domains: taking out, bringing back, and take-outs that are not on record yet.
+
+use indexmap::IndexMap;
+
+use crate::context::StepContext;
+use crate::effect::CallerAnswer;
+use crate::effect::DomainHold;
+use crate::effect::DomainView;
+use crate::effect::LogPart;
+use crate::event::CallerCredential;
+use crate::ids::CallerId;
+use crate::ids::DaemonName;
+use crate::ids::DomainName;
+use crate::ids::WorkerName;
+use crate::kind::ErrorKind;
+use crate::ledger::RecordEffect;
+use crate::ledger::VoidReason;
+use crate::member;
+use crate::outbox::RecordPurpose;
+use crate::record::RecordBody;
+use crate::state::DaemonState;
+use crate::units::ClockTime;
+use crate::units::TimeSpan;
+use crate::worker::VmState;
+
+/// Longest wait for the daemons' confirmation before the operator is told which are missing.
+const CONFIRM_TIME: TimeSpan = TimeSpan(8_000);
+
+/// A command of an operator on a failure domain.
+#[derive(Clone, Debug)]
+pub struct DomainCommand<'a> {
+    /// The failure domain.
+    pub domain: &'a DomainName,
+    /// Whether it goes out.
+    pub out: bool,
+    /// The operator.
+    pub operator: &'a str,
+    /// Whether a broken guarantee is accepted.
+    pub confirmed: bool,
+}
+
+/// An operator who waits until a change is in force everywhere.
+#[derive(Clone, Debug)]
+struct DomainWaiter {
+    domain: DomainName,
+    out: bool,
+    until: ClockTime,
+    recorded: bool,
+}
+
+/// Take-outs that are not on record, and operators who wait.
+#[derive(Clone, Debug, Default)]
+pub struct DomainTable {
+    holds: IndexMap<DomainName, u64>,
+    waiters: IndexMap<CallerId, DomainWaiter>,
+}
+
+/// Tells whether a failure domain gets no new work, by record or by a hold.
+#[must_use]
+pub fn is_kept_out(state: &DaemonState, domain: &DomainName) -> bool {
+    state.ledger.is_out(domain) || state.domains.holds.contains_key(domain)
+}
+
+/// Tells whether a worker's failure domain gets no new work. An unknown worker gets none.
+#[must_use]
+pub fn is_worker_kept_out(state: &DaemonState, worker: &WorkerName) -> bool {
+    let entry = state.members.workers.get(worker);
+    entry.is_none_or(|entry| is_kept_out(state, &entry.info.domain))
+}
+
+/// Returns the failure domains that get no new work.
+#[must_use]
+pub fn kept_out(state: &DaemonState) -> Vec<DomainName> {
+    let recorded = state.ledger.domains.iter().filter(|(_, state)| state.out);
+    let mut out: Vec<DomainName> = recorded.map(|(domain, _)| domain.clone()).collect();
+    out.extend(state.domains.holds.keys().cloned());
+    out.sort();
+    out.dedup();
+    out
+}
+
+/// Returns the take-outs that are not on record.
+#[must_use]
+pub fn holds(state: &DaemonState) -> Vec<DomainHold> {
+    let holds = state.domains.holds.iter();
+    holds
+        .map(|(domain, base)| DomainHold {
+            domain: domain.clone(),
+            base: *base,
+        })
+        .collect()
+}
+
+/// Takes over holds of another daemon, unless a later record has settled them.
+pub fn adopt_holds(state: &mut DaemonState, holds: &[DomainHold], context: &mut StepContext<'_>) {
+    for hold in holds {
+        let known = state.domains.holds.contains_key(&hold.domain);
+        if !known && hold.base == state.ledger.domain_version(&hold.domain) {
+            context.info(
+                LogPart::Config,
+                format!("holding {} out for a peer", hold.domain),
+            );
+            insert_hold(state, &hold.domain, hold.base);
+        }
+    }
+}
+
+fn insert_hold(state: &mut DaemonState, domain: &DomainName, base: u64) {
+    state.domains.holds.insert(domain.clone(), base);
+    state.planner.dirty = true;
+    state.members.send_heartbeat_now();
+}
+
+/// Carries out a command of an operator.
+pub fn set(
+    state: &mut DaemonState,
+    caller: CallerId,
+    credential: &CallerCredential,
+    command: &DomainCommand<'_>,
+    context: &mut StepContext<'_>,
+) {
+    if !state.is_operator(credential) {
+        context.fail(caller, ErrorKind::Forbidden, "the operators' key is needed");
+        return;
+    }
+    let known = state
+        .members
+        .workers
+        .values()
+        .any(|entry| entry.info.domain == *command.domain);
+    if !known && !state.ledger.domains.contains_key(command.domain) {
+        let detail = format!("no worker stands in failure domain {}", command.domain);
+        context.fail(caller, ErrorKind::UnknownDomain, detail);
+        return;
+    }
+    if command.out
+        && !command.confirmed
+        && let Err(reason) = check_guarantees_without(state, command.domain)
+    {
+        context.fail(caller, ErrorKind::BreaksGuarantee, reason);
+        return;
+    }
+    append(state, caller, command, context);
+}
+
+fn append(
+    state: &mut DaemonState,
+    caller: CallerId,
+    command: &DomainCommand<'_>,
+    context: &mut StepContext<'_>,
+) {
+    let fresh = state
+        .reader
+        .is_fresh(context.at, state.settings.timing.freshness);
+    if !command.out && !fresh {
+        let detail = "bringing a failure domain back needs the log";
+        context.fail(caller, ErrorKind::LogUnavailable, detail);
+        return;
+    }
+    let base = state.ledger.domain_version(command.domain);
+    if command.out {
+        insert_hold(state, command.domain, base);
+    }
+    let body = RecordBody::DomainSet {
+        domain: command.domain.clone(),
+        out: command.out,
+        base,
+        operator: command.operator.to_owned(),
+    };
+    state
+        .outbox
+        .push(context.at, body, RecordPurpose::Domain { caller });
+    let waiter = DomainWaiter {
+        domain: command.domain.clone(),
+        out: command.out,
+        until: context.at + CONFIRM_TIME,
+        recorded: false,
+    };
+    state.domains.waiters.insert(caller, waiter);
+}
+
+fn check_guarantees_without(state: &DaemonState, domain: &DomainName) -> Result<(), String> {
+    let workers: Vec<_> = state
+        .members
+        .workers
+        .values()
+        .filter(|entry| entry.is_staying())
+        .filter(|entry| !is_kept_out(state, &entry.info.domain) && entry.info.domain != *domain)
+        .map(|entry| &entry.info)
+        .collect();
+    crate::policy::check_guarantees(&state.ledger.config.teams, &workers)
+        .map_err(|reason| format!("without {domain}: {reason}"))
+}
+
+/// Takes the read-back of an operator's change.
+pub fn settled(
+    state: &mut DaemonState,
+    caller: CallerId,
+    effect: &RecordEffect,
+    context: &mut StepContext<'_>,
+) {
+    match effect {
+        RecordEffect::Applied => {
+            if let Some(waiter) = state.domains.waiters.get_mut(&caller) {
+                waiter.recorded = true;
+            }
+            answer_confirmed(state, context);
+        }
+        RecordEffect::Void(VoidReason::LostRace { winner, version }) => {
+            let detail = format!("{winner} changed it first, to version {version}");
+            if state.domains.waiters.shift_remove(&caller).is_some() {
+                context.fail(caller, ErrorKind::LostRace, detail);
+            }
+        }
+        _ => {
+            if state.domains.waiters.shift_remove(&caller).is_some() {
+                context.fail(
+                    caller,
+                    ErrorKind::OutcomeUnknown,
+                    "read the domain's status",
+                );
+            }
+        }
+    }
+}
+
+/// Takes a change that is in force: a hold against an older version ends.
+pub fn changed(state: &mut DaemonState, domain: &DomainName, context: &mut StepContext<'_>) {
+    let version = state.ledger.domain_version(domain);
+    if state
+        .domains
+        .holds
+        .get(domain)
+        .is_some_and(|base| *base < version)
+    {
+        state.domains.holds.shift_remove(domain);
+    }
+    let word = if state.ledger.is_out(domain) {
+        "out"
+    } else {
+        "in"
+    };
+    context.info(
+        LogPart::Config,
+        format!("failure domain {domain} is {word}"),
+    );
+    state.planner.dirty = true;
+    state.members.send_heartbeat_now();
+}
+
+/// Answers operators whose change every live daemon has confirmed.
+pub fn answer_confirmed(state: &mut DaemonState, context: &mut StepContext<'_>) {
+    let done: Vec<CallerId> = state
+        .domains
+        .waiters
+        .iter()
+        .filter(|(_, waiter)| waiter.recorded || waiter.out)
+        .filter(|(_, waiter)| unconfirmed(state, &waiter.domain, waiter.out, context.at).is_empty())
+        .filter(|(_, waiter)| waiter.recorded)
+        .map(|(caller, _)| *caller)
+        .collect();
+    answer(state, &done, context);
+}
+
+/// Answers operators who have waited long enough, with the daemons that have not confirmed.
+pub fn tick(state: &mut DaemonState, context: &mut StepContext<'_>) {
+    let late: Vec<CallerId> = state
+        .domains
+        .waiters
+        .iter()
+        .filter(|(_, waiter)| context.at >= waiter.until)
+        .map(|(caller, _)| *caller)
+        .collect();
+    answer(state, &late, context);
+}
+
+fn answer(state: &mut DaemonState, callers: &[CallerId], context: &mut StepContext<'_>) {
+    for caller in callers {
+        state.domains.waiters.shift_remove(caller);
+        let domains = views(state, context.at);
+        context.reply(*caller, CallerAnswer::Domains { domains });
+    }
+}
+
+/// Forgets an operator whose connection closed. The change goes on.
+pub fn caller_gone(state: &mut DaemonState, caller: CallerId) {
+    state.domains.waiters.shift_remove(&caller);
+}
+
+fn unconfirmed(
+    state: &DaemonState,
+    domain: &DomainName,
+    out: bool,
+    at: ClockTime,
+) -> Vec<DaemonName> {
+    member::live_daemons(state, at)
+        .into_iter()
+        .filter(|(daemon, _)| **daemon != state.settings.daemon)
+        .filter(|(daemon, _)| {
+            let heartbeat = state
+                .members
+                .daemons
+                .get(*daemon)
+                .and_then(|entry| entry.heartbeat.as_ref());
+            heartbeat.is_none_or(|heartbeat| heartbeat.held_domains.contains(domain) != out)
+        })
+        .map(|(daemon, _)| daemon.clone())
+        .collect()
+}
+
+/// Returns all failure domains that have workers or records.
+#[must_use]
+pub fn views(state: &DaemonState, at: ClockTime) -> Vec<DomainView> {
+    let mut names: Vec<DomainName> = state
+        .members
+        .workers
+        .values()
+        .map(|entry| entry.info.domain.clone())
+        .chain(state.ledger.domains.keys().cloned())
+        .collect();
+    names.sort();
+    names.dedup();
+    names
+        .into_iter()
+        .map(|domain| view(state, domain, at))
+        .collect()
+}
+
+fn view(state: &DaemonState, domain: DomainName, at: ClockTime) -> DomainView {
+    let record = state.ledger.domains.get(&domain);
+    let out = is_kept_out(state, &domain);
+    let inside = || {
+        let workers = state.members.workers.values();
+        workers.filter(|entry| entry.info.domain == domain && entry.info.state != VmState::Gone)
+    };
+    let tasks = inside()
+        .map(|entry| state.ledger.tasks_on(&entry.info.worker).count())
+        .sum::<usize>();
+    DomainView {
+        out,
+        recorded: record.is_some_and(|record| record.out == out) || (record.is_none() && !out),
+        version: record.map_or(0, |record| record.version),
+        operator: record.map_or_else(String::new, |record| record.operator.clone()),
+        workers: u32::try_from(inside().count()).unwrap_or(u32::MAX),
+        tasks: u32::try_from(tasks).unwrap_or(u32::MAX),
+        unconfirmed: unconfirmed(state, &domain, out, at),
+        empty_in: None,
+        domain,
+    }
+}
--- /dev/null
+++ b/core/src/dump.rs
@@ -0,0 +1,193 @@
+//! Views of a daemon's state for operators: one moment of the control thread, bounded, without
+//! keys.
+
+use serde_json::Value;
+use serde_json::json;
+
+use crate::config::TeamFile;
+use crate::domain;
+use crate::effect::DaemonView;
+use crate::effect::TeamView;
+use crate::gang::GangRun;
+use crate::ids::JobId;
+use crate::ledger::JobPhase;
+use crate::member;
+use crate::state::DaemonState;
+use crate::term;
+use crate::units::ClockTime;
+
+/// Entries of each table that a dump shows, to keep its size bounded.
+const DUMP_ENTRIES: usize = 200;
+
+/// Returns the version in force at each daemon, this one first.
+#[must_use]
+pub fn daemons(state: &DaemonState, at: ClockTime) -> Vec<DaemonView> {
+    let own = DaemonView {
+        daemon: state.settings.daemon.clone(),
+        live: true,
+        config: state.ledger.config.version,
+        next: state.ledger.next,
+        held_domains: domain::kept_out(state),
+    };
+    let live = member::live_daemons(state, at);
+    let others = state.members.daemons.iter().map(|(daemon, entry)| {
+        let heartbeat = entry.heartbeat.as_ref();
+        DaemonView {
+            daemon: daemon.clone(),
+            live: live.iter().any(|(name, _)| *name == daemon),
+            config: heartbeat.map(|beat| beat.config).unwrap_or_default(),
+            next: heartbeat.map(|beat| beat.next).unwrap_or_default(),
+            held_domains: heartbeat
+                .map(|beat| beat.held_domains.clone())
+                .unwrap_or_default(),
+        }
+    });
+    std::iter::once(own).chain(others).collect()
+}
+
+/// Returns the teams against their guarantees.
+#[must_use]
+pub fn teams(state: &DaemonState) -> Vec<TeamView> {
+    let mut views: Vec<TeamView> = state
+        .ledger
+        .config
+        .teams
+        .values()
+        .map(|file| team_view(state, file))
+        .collect();
+    let borrowed: u32 = views.iter().map(|view| view.borrowed).sum();
+    let unused: u32 = views
+        .iter()
+        .map(|view| view.guaranteed.saturating_sub(view.used))
+        .sum();
+    for view in &mut views {
+        // Borrowed accelerators are attributed to the teams with unused guarantees in proportion.
+        let own = view.guaranteed.saturating_sub(view.used);
+        view.lent = (borrowed.min(unused) * own)
+            .checked_div(unused)
+            .unwrap_or(0);
+    }
+    views
+}
+
+fn team_view(state: &DaemonState, file: &TeamFile) -> TeamView {
+    let guaranteed = file
+        .guarantees
+        .iter()
+        .map(|shape| shape.count * shape.workers * shape.per_worker.accelerators)
+        .sum::<u32>();
+    let used = state
+        .ledger
+        .placed()
+        .filter_map(|job| state.ledger.jobs.get(&job))
+        .filter(|record| record.order.team == file.team)
+        .map(|record| record.order.spec.members * record.order.spec.demand.accelerators)
+        .sum::<u32>();
+    TeamView {
+        team: file.team.clone(),
+        guaranteed,
+        used,
+        borrowed: used.saturating_sub(guaranteed),
+        lent: 0,
+        reclaiming: 0,
+        waiting: u32::try_from(state.ledger.waiting_of(&file.team)).unwrap_or(u32::MAX),
+        suspended_shapes: 0,
+    }
+}
+
+/// Returns the state as JSON text.
+#[must_use]
+pub fn state_json(state: &DaemonState, at: ClockTime) -> String {
+    let value = json!({
+        "daemon": state.settings.daemon,
+        "at_ms": at,
+        "incarnation": state.outbox.writer().incarnation,
+        "term": term_json(state, at),
+        "log": {
+            "next": state.ledger.next,
+            "confirmed_age_ms": state.reader.confirmed_at.map(|confirmed| at.since(confirmed)),
+            "loaded": state.reader.loaded,
+            "unknown_records": state.ledger.unknown_records,
+            "outbox": state.outbox.len(),
+        },
+        "config": {
+            "version": state.ledger.config.version,
+            "operator": state.ledger.config.operator,
+            "teams": state.ledger.config.teams.keys().collect::<Vec<_>>(),
+        },
+        "daemons": daemons(state, at),
+        "domains": domain::views(state, at),
+        "jobs": {
+            "queued": state.ledger.queued_count(),
+            "placed": state.ledger.placed_count(),
+            "known": state.ledger.jobs.len(),
+            "first_queued": state.ledger.queued().take(DUMP_ENTRIES).collect::<Vec<_>>(),
+            "first_placed": placed_json(state),
+        },
+        "keys": state.ledger.key_count(),
+        "workers": {
+            "known": state.members.workers.len(),
+            "share": state.leases.entries.len(),
+            "silent": crate::lease::silent_workers(state),
+            "lost": crate::lease::lost_workers(state, at),
+        },
+        "planner": planner_json(state),
+        "requests_open": state.requests.open.len(),
+        "callers_waiting": state.callers.len(),
+        "calls_open": state.calls.open_count(),
+        "draining": state.shutdown.is_some(),
+    });
+    value.to_string()
+}
+
+fn term_json(state: &DaemonState, at: ClockTime) -> Value {
+    json!({
+        "number": state.ledger.term.number,
+        "holder": state.ledger.term.holder.as_ref().map(|writer| &writer.daemon),
+        "held_here": term::is_planner(state, at),
+    })
+}
+
+fn placed_json(state: &DaemonState) -> Vec<Value> {
+    let placed = state.ledger.placed().take(DUMP_ENTRIES);
+    placed
+        .filter_map(|job| state.ledger.jobs.get(&job).map(|record| (job, record)))
+        .map(|(job, record)| {
+            let workers = match &record.phase {
+                JobPhase::Placed { workers, .. } => workers.len(),
+                _ => 0,
+            };
+            json!({
+                "job": job,
+                "team": record.order.team,
+                "service": record.order.service,
+                "attempt": record.attempt,
+                "members": workers,
+            })
+        })
+        .collect()
+}
+
+fn planner_json(state: &DaemonState) -> Value {
+    let runs = state.planner.unsettled.iter().take(DUMP_ENTRIES);
+    let unsettled: Vec<Value> = runs
+        .filter_map(|job| state.planner.runs.get(job).map(|run| run_json(*job, run)))
+        .collect();
+    json!({
+        "term": state.planner.term,
+        "attempts": state.planner.runs.len(),
+        "unsettled": unsettled,
+        "fenced": state.planner.fences.values().filter(|fence| fence.confirmed.is_some()).count(),
+    })
+}
+
+fn run_json(job: JobId, run: &GangRun) -> Value {
+    json!({
+        "job": job,
+        "attempt": run.attempt,
+        "stage": format!("{:?}", run.stage),
+        "since_ms": run.since,
+        "recorded": run.recorded,
+        "unconfirmed_stops": run.unconfirmed_stops(),
+    })
+}
--- a/core/src/effect.rs
+++ b/core/src/effect.rs
@@ -3,7 +3,6 @@
 use indexmap::IndexMap;
 
 use crate::config::TeamFile;
-use crate::event::EncodedSnapshot;
 use crate::ids::BatchId;
 use crate::ids::CallId;
 use crate::ids::CallerId;
@@ -19,6 +18,7 @@
 use crate::ids::TeamName;
 use crate::ids::WorkerName;
 use crate::kind::FailureReport;
+use crate::ledger::LedgerState;
 use crate::record::LogRecord;
 use crate::units::TimeSpan;
 use crate::worker::TaskStatus;
@@ -40,6 +40,8 @@
         pub incarnation: u64,
         /// IP number and port that takes pushed reports from workers.
         pub address: String,
+        /// IP number and port of its peer interface.
+        pub peer_address: String,
         /// Its region.
         pub region: RegionName,
         /// Its failure domain.
@@ -75,7 +77,10 @@
         /// The sender has no ledger and the log is out of reach.
         StateWanted,
         /// The sender's ledger.
-        State(EncodedSnapshot),
+        State {
+            /// The ledger.
+            ledger: Box<LedgerState>,
+        },
     }
 }
 
@@ -382,10 +387,10 @@
         },
         /// Read the newest whole snapshot.
         ReadSnapshot,
-        /// Write a snapshot in pieces.
+        /// Encode a snapshot and write it in pieces.
         WriteSnapshot {
-            /// The snapshot.
-            snapshot: EncodedSnapshot,
+            /// The ledger.
+            ledger: Box<LedgerState>,
         },
         /// Send a command to a worker.
         CallWorker {
--- a/core/src/event.rs
+++ b/core/src/event.rs
@@ -16,6 +16,7 @@
 use crate::ids::ServiceName;
 use crate::ids::TeamName;
 use crate::ids::WorkerName;
+use crate::ledger::LedgerState;
 use crate::record::StoredRecord;
 use crate::units::ClockTime;
 use crate::units::TimeSpan;
@@ -277,9 +278,8 @@
         },
         /// A read of the snapshot stream ended.
         SnapshotRead {
-            /// The newest whole snapshot as encoded bytes with the offset that it continues from,
-            /// or `None` when the stream holds none.
-            snapshot: Option<EncodedSnapshot>,
+            /// The newest whole snapshot, or `None` when the stream holds none.
+            ledger: Option<Box<LedgerState>>,
             /// Whether the log could be read.
             reachable: bool,
         },
@@ -338,12 +338,4 @@
             level: ShutdownLevel,
         },
     }
-
-    /// A ledger as bytes.
-    pub struct EncodedSnapshot {
-        /// The offset that reading continues from.
-        pub next: LogOffset,
-        /// The encoded ledger.
-        pub bytes: Vec<u8>,
-    }
 }
--- /dev/null
+++ b/core/src/explain.rs
@@ -0,0 +1,79 @@
+//! Why a job waits.
+
+use crate::caller;
+use crate::event::CallerCredential;
+use crate::ids::JobId;
+use crate::kind::ErrorKind;
+use crate::kind::FailureReport;
+use crate::ledger;
+use crate::ledger::JobPhase;
+use crate::state::DaemonState;
+use crate::term;
+use crate::units::ClockTime;
+use crate::units::format_span;
+
+/// Returns sentences on where a job stands, the most important first.
+///
+/// # Errors
+///
+/// Returns a report when the caller may not see the job or it is not known.
+pub fn reasons(
+    state: &DaemonState,
+    credential: &CallerCredential,
+    job: JobId,
+    at: ClockTime,
+) -> Result<Vec<String>, FailureReport> {
+    let missing = || FailureReport::new(ErrorKind::NotFound, format!("no job {job}"));
+    let record = state.ledger.jobs.get(&job).ok_or_else(missing)?;
+    caller::authorize(state, credential, &record.order.team).map_err(|_| missing())?;
+    Ok(match &record.phase {
+        JobPhase::Ended { .. } => vec!["the job has ended".to_owned()],
+        JobPhase::Placed { workers, .. } => {
+            vec![format!(
+                "attempt {} holds {} workers",
+                record.attempt,
+                workers.len()
+            )]
+        }
+        JobPhase::Queued => waiting_reasons(state, job, at),
+    })
+}
+
+fn waiting_reasons(state: &DaemonState, job: JobId, at: ClockTime) -> Vec<String> {
+    let mut reasons = Vec::new();
+    let timing = &state.settings.timing;
+    if !state.reader.is_fresh(at, timing.freshness) {
+        let age = state
+            .reader
+            .confirmed_at
+            .map(|confirmed| format_span(at.since(confirmed)));
+        let age = age.unwrap_or_else(|| "the start".to_owned());
+        reasons.push(format!(
+            "the log has not answered this daemon for {age}; nothing is started"
+        ));
+    }
+    if !term::is_planner(state, at) {
+        reasons.push(match ledger::holder(&state.ledger) {
+            Some(daemon) => format!("the planner is {daemon}; ask there for the policy's reasons"),
+            None => "no daemon holds the planner's term".to_owned(),
+        });
+        return reasons;
+    }
+    if state.planner.runs.contains_key(&job) {
+        reasons.push("workers are being reserved for it".to_owned());
+    }
+    reasons.extend(
+        state
+            .planner
+            .memory
+            .reasons
+            .get(&job)
+            .into_iter()
+            .flatten()
+            .cloned(),
+    );
+    if reasons.is_empty() {
+        reasons.push("the policy has not looked at it yet".to_owned());
+    }
+    reasons
+}
--- /dev/null
+++ b/core/src/lease.rs
@@ -0,0 +1,497 @@
+//! Leases of the workers in this daemon's share, and what their renewal brings to light.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use indexmap::IndexMap;
+
+use crate::call;
+use crate::call::CallPurpose;
+use crate::context::StepContext;
+use crate::effect::ControlEffect;
+use crate::effect::LogPart;
+use crate::effect::MetricName;
+use crate::effect::PeerMessage;
+use crate::effect::WorkerTasks;
+use crate::gang;
+use crate::ids::JobId;
+use crate::ids::TaskId;
+use crate::ids::WorkerName;
+use crate::ledger;
+use crate::ledger::JobPhase;
+use crate::member;
+use crate::state::DaemonState;
+use crate::term;
+use crate::units::ClockTime;
+use crate::units::TimeSpan;
+use crate::worker::TaskOutcome;
+use crate::worker::TaskPhase;
+use crate::worker::TaskStatus;
+use crate::worker::VmState;
+use crate::worker::WorkerCommand;
+
+/// Part of the renewal period over which a new share's first renewals are spread, so that taking a
+/// share over does not call all its workers at once.
+const FIRST_RENEWAL_PARTS: u64 = 3;
+
+/// Time after a placement before a task that its worker does not report counts as gone. The start
+/// follows the placement within the life of a reservation.
+const START_PARTS: u64 = 3;
+
+/// The lease of one worker of the share.
+#[derive(Clone, Debug)]
+pub struct LeaseEntry {
+    /// When the next call is due.
+    pub due: ClockTime,
+    /// When the worker last answered this daemon, or when the share was taken over.
+    pub answered_at: ClockTime,
+    /// When the last renewal was sent, or when the share was taken over.
+    pub renewed_at: ClockTime,
+    /// Revision of the worker's tasks that has been seen.
+    pub revision: u64,
+    /// The worker's boot number, once it has answered.
+    pub boot: Option<u64>,
+    /// Whether a call is in flight.
+    pub calling: bool,
+    /// When the first of the calls that went unanswered was noticed.
+    failing_since: Option<ClockTime>,
+    /// Ends of tasks that are not on record yet.
+    pub ended: BTreeMap<TaskId, TaskStatus>,
+    /// Whether calls have gone unanswered for the suspicion time.
+    silent: bool,
+    /// Whether the loss has been logged.
+    lost: bool,
+}
+
+/// The leases of this daemon's share.
+#[derive(Clone, Debug, Default)]
+pub struct LeaseTable {
+    /// Leases by worker.
+    pub entries: IndexMap<WorkerName, LeaseEntry>,
+    /// Version of the VM list that the share was drawn from.
+    pub drawn_version: u64,
+    queue: BTreeSet<(ClockTime, WorkerName)>,
+}
+
+/// Takes over and gives up leases so that they match this daemon's share.
+pub fn redraw(state: &mut DaemonState, at: ClockTime) {
+    let live = member::live_daemons(state, at);
+    let mine: Vec<WorkerName> = state
+        .members
+        .workers
+        .values()
+        .filter(|entry| entry.info.state != VmState::Gone)
+        .filter(|entry| member::share_owner(&live, &entry.info) == Some(&state.settings.daemon))
+        .map(|entry| entry.info.worker.clone())
+        .collect();
+    let spread = state.settings.timing.lease_renewal.0 / FIRST_RENEWAL_PARTS;
+    let count = mine.len().max(1) as u64;
+    let mut entries = IndexMap::with_capacity(mine.len());
+    for (index, worker) in (0..).zip(mine) {
+        let due = at + TimeSpan(spread * index / count);
+        let entry = state.leases.entries.swap_remove(&worker);
+        entries.insert(worker, entry.unwrap_or_else(|| LeaseEntry::new(at, due)));
+    }
+    state.leases.entries = entries;
+    state.leases.requeue();
+}
+
+impl LeaseEntry {
+    fn new(at: ClockTime, due: ClockTime) -> Self {
+        Self {
+            due,
+            answered_at: at,
+            renewed_at: at,
+            revision: 0,
+            boot: None,
+            calling: false,
+            failing_since: None,
+            ended: BTreeMap::new(),
+            silent: false,
+            lost: false,
+        }
+    }
+}
+
+impl LeaseTable {
+    fn requeue(&mut self) {
+        self.queue = self
+            .entries
+            .iter()
+            .map(|(worker, entry)| (entry.due, worker.clone()))
+            .collect();
+    }
+
+    fn schedule(&mut self, worker: &WorkerName, due: ClockTime) {
+        let Some(entry) = self.entries.get_mut(worker) else {
+            return;
+        };
+        self.queue.remove(&(entry.due, worker.clone()));
+        entry.due = due;
+        self.queue.insert((due, worker.clone()));
+    }
+}
+
+fn is_lost(state: &DaemonState, entry: &LeaseEntry, at: ClockTime) -> bool {
+    let timing = &state.settings.timing;
+    entry.silent && at.since(entry.renewed_at) > timing.lease + timing.clock_margin + timing.call
+}
+
+/// Tells whether a worker of the share has been silent for the suspicion time.
+#[must_use]
+pub fn is_silent(state: &DaemonState, worker: &WorkerName) -> bool {
+    silent_workers(state).contains(worker)
+}
+
+/// Returns workers of the share that have been silent for the suspicion time. Only workers of this
+/// daemon's own region count: a partition between regions looks like silence from the far side.
+#[must_use]
+pub fn silent_workers(state: &DaemonState) -> Vec<WorkerName> {
+    let mut silent = listed(state, |entry| entry.silent);
+    retain_own_region(state, &mut silent);
+    silent
+}
+
+/// Returns workers of the share whose lease is certain to have lapsed, in this daemon's own region.
+#[must_use]
+pub fn lost_workers(state: &DaemonState, at: ClockTime) -> Vec<WorkerName> {
+    let mut lost = listed(state, |entry| is_lost(state, entry, at));
+    retain_own_region(state, &mut lost);
+    lost
+}
+
+fn retain_own_region(state: &DaemonState, workers: &mut Vec<WorkerName>) {
+    workers.retain(|worker| {
+        let entry = state.members.workers.get(worker);
+        entry.is_some_and(|entry| entry.info.region == state.settings.region)
+    });
+}
+
+fn listed(state: &DaemonState, test: impl Fn(&LeaseEntry) -> bool) -> Vec<WorkerName> {
+    let entries = state.leases.entries.iter().filter(|(_, entry)| test(entry));
+    entries.map(|(worker, _)| worker.clone()).collect()
+}
+
+/// Renews the leases that are due.
+pub fn tick(state: &mut DaemonState, context: &mut StepContext<'_>) {
+    while let Some((due, worker)) = state.leases.queue.first().cloned() {
+        if due > context.at {
+            return;
+        }
+        let next = context.at + state.settings.timing.lease_renewal;
+        state.leases.schedule(&worker, next);
+        contact(state, &worker, context);
+    }
+}
+
+/// Renews a worker's lease, or only probes it while it is silent. A probe does not extend the
+/// lease, so that the wait until it has lapsed comes to an end.
+fn contact(state: &mut DaemonState, worker: &WorkerName, context: &mut StepContext<'_>) {
+    let at = context.at;
+    let Some(entry) = state.leases.entries.get(worker) else {
+        return;
+    };
+    if entry.calling {
+        return;
+    }
+    let silent = entry.silent;
+    let seen = entry.revision;
+    let command = if silent {
+        WorkerCommand::Fence {
+            term: state.ledger.term.number,
+        }
+    } else {
+        WorkerCommand::Renew {
+            ttl: state.settings.timing.lease,
+            seen,
+            report_to: state.settings.caller_address.clone(),
+        }
+    };
+    if let Some(entry) = state.leases.entries.get_mut(worker) {
+        entry.calling = true;
+        if !silent {
+            entry.renewed_at = at;
+        }
+    }
+    call::send(state, worker, command, CallPurpose::Renew, context);
+}
+
+/// Takes a renewal's answer.
+pub fn renewed(
+    state: &mut DaemonState,
+    worker: &WorkerName,
+    revision: u64,
+    boot: u64,
+    tasks: &[TaskStatus],
+    context: &mut StepContext<'_>,
+) {
+    let Some(entry) = state.leases.entries.get_mut(worker) else {
+        return;
+    };
+    let first = entry.boot.is_none();
+    let rebooted = entry.boot.is_some_and(|old| old != boot);
+    entry.boot = Some(boot);
+    entry.revision = if rebooted { 0 } else { revision };
+    take_tasks(state, worker, tasks, context);
+    if rebooted {
+        state.leases.schedule(worker, context.at);
+    } else if first || revision > 0 {
+        forget_recorded(state, worker, context);
+    }
+    if first {
+        // A worker that has restarted has forgotten the term and would take older commands.
+        let term = state.ledger.term.number;
+        call::send(
+            state,
+            worker,
+            WorkerCommand::Fence { term },
+            CallPurpose::Refence,
+            context,
+        );
+        report_missing(state, worker, tasks, context);
+    }
+    if rebooted && let Some(entry) = state.leases.entries.get_mut(worker) {
+        entry.boot = None;
+    }
+}
+
+/// Notes that a worker of the share has answered.
+pub fn heard(state: &mut DaemonState, worker: &WorkerName, context: &mut StepContext<'_>) {
+    let Some(entry) = state.leases.entries.get_mut(worker) else {
+        return;
+    };
+    entry.calling = false;
+    entry.answered_at = context.at;
+    entry.failing_since = None;
+    entry.lost = false;
+    if entry.silent {
+        entry.silent = false;
+        // The lease may have lapsed while the worker was silent, so everything is read again.
+        entry.boot = None;
+        entry.revision = 0;
+        context.info(LogPart::Lease, format!("{worker} answers again"));
+        state.leases.schedule(worker, context.at);
+        state.planner.dirty = true;
+    }
+}
+
+/// Notes that a call to a worker of the share was not answered.
+pub fn unanswered(state: &mut DaemonState, worker: &WorkerName, context: &mut StepContext<'_>) {
+    let timing = &state.settings.timing;
+    let (suspicion, retry) = (timing.suspicion, timing.heartbeat);
+    let at = context.at;
+    let Some(entry) = state.leases.entries.get_mut(worker) else {
+        return;
+    };
+    entry.calling = false;
+    let failing_since = *entry.failing_since.get_or_insert(at);
+    let silent = at.since(failing_since) >= suspicion;
+    if silent && !entry.silent {
+        entry.silent = true;
+        context.warn(LogPart::Lease, format!("{worker} is silent"));
+    }
+    state.leases.schedule(worker, at + retry);
+    if silent {
+        stop_rest_of_gangs(state, worker, context);
+    }
+    note_loss(state, worker, context);
+}
+
+fn note_loss(state: &mut DaemonState, worker: &WorkerName, context: &mut StepContext<'_>) {
+    let Some(entry) = state.leases.entries.get(worker) else {
+        return;
+    };
+    if entry.lost || !is_lost(state, entry, context.at) {
+        return;
+    }
+    if let Some(entry) = state.leases.entries.get_mut(worker) {
+        entry.lost = true;
+    }
+    context.count(MetricName::WorkersLost, 1);
+    context.warn(
+        LogPart::Lease,
+        format!("{worker} is lost: its lease has lapsed unanswered"),
+    );
+}
+
+/// Takes tasks that a worker reports.
+pub fn take_tasks(
+    state: &mut DaemonState,
+    worker: &WorkerName,
+    tasks: &[TaskStatus],
+    context: &mut StepContext<'_>,
+) {
+    let mut stale: BTreeMap<JobId, u32> = BTreeMap::new();
+    for status in tasks {
+        let over = state.ledger.is_over(&status.task);
+        match &status.phase {
+            TaskPhase::Ended { .. } => {
+                if let Some(entry) = state.leases.entries.get_mut(worker) {
+                    entry.ended.insert(status.task, status.clone());
+                }
+            }
+            TaskPhase::Running | TaskPhase::Reserved if over => {
+                stale.insert(status.task.job, status.task.attempt);
+            }
+            TaskPhase::Running | TaskPhase::Reserved => {}
+        }
+    }
+    for (job, attempt) in stale {
+        let term = state.ledger.term.number;
+        let command = WorkerCommand::Stop {
+            term,
+            job,
+            attempt,
+            checkpoint: false,
+        };
+        call::send(state, worker, command, CallPurpose::StopStale, context);
+    }
+    let ends: Vec<TaskStatus> = tasks
+        .iter()
+        .filter(|status| matches!(status.phase, TaskPhase::Ended { .. }))
+        .filter(|status| !state.ledger.is_over(&status.task))
+        .cloned()
+        .collect();
+    report(state, worker, ends, context);
+}
+
+/// Hands ends of tasks to the planner, which may be this daemon.
+fn report(
+    state: &mut DaemonState,
+    worker: &WorkerName,
+    tasks: Vec<TaskStatus>,
+    context: &mut StepContext<'_>,
+) {
+    if tasks.is_empty() {
+        return;
+    }
+    if term::is_planner(state, context.at) {
+        gang::observe(state, worker, &tasks, context);
+        return;
+    }
+    let Some(holder) = ledger::holder(&state.ledger).cloned() else {
+        return;
+    };
+    let Some(entry) = state.members.daemons.get(&holder) else {
+        return;
+    };
+    let reports = vec![WorkerTasks {
+        worker: worker.clone(),
+        tasks,
+    }];
+    context.push(ControlEffect::SendPeer {
+        to: holder,
+        address: entry.info.address.clone(),
+        message: PeerMessage::Reports { reports },
+    });
+}
+
+/// Lets a worker forget ended tasks whose end is on record.
+fn forget_recorded(state: &mut DaemonState, worker: &WorkerName, context: &mut StepContext<'_>) {
+    let Some(entry) = state.leases.entries.get(worker) else {
+        return;
+    };
+    let tasks: Vec<TaskId> = entry
+        .ended
+        .keys()
+        .filter(|task| state.ledger.is_over(task))
+        .copied()
+        .collect();
+    if tasks.is_empty() {
+        return;
+    }
+    if let Some(entry) = state.leases.entries.get_mut(worker) {
+        entry.ended.retain(|task, _| !tasks.contains(task));
+    }
+    call::send(
+        state,
+        worker,
+        WorkerCommand::Forget { tasks },
+        CallPurpose::Forget,
+        context,
+    );
+}
+
+/// Reports placed tasks that their worker does not know. A restart or a lapsed lease has ended
+/// them.
+fn report_missing(
+    state: &mut DaemonState,
+    worker: &WorkerName,
+    tasks: &[TaskStatus],
+    context: &mut StepContext<'_>,
+) {
+    let started_before = context.at - TimeSpan(state.settings.timing.reservation.0 * START_PARTS);
+    let missing: Vec<TaskStatus> = state
+        .ledger
+        .tasks_on(worker)
+        .filter(|task| !tasks.iter().any(|status| status.task == *task))
+        .filter(|task| placed_before(state, task, started_before))
+        .map(gone_status)
+        .collect();
+    if !missing.is_empty() {
+        context.warn(
+            LogPart::Lease,
+            format!("{worker} no longer has {} placed tasks", missing.len()),
+        );
+    }
+    report(state, worker, missing, context);
+}
+
+fn placed_before(state: &DaemonState, task: &TaskId, limit: ClockTime) -> bool {
+    match state.ledger.jobs.get(&task.job).map(|record| &record.phase) {
+        Some(JobPhase::Placed { at, .. }) => *at < limit,
+        _ => false,
+    }
+}
+
+fn gone_status(task: TaskId) -> TaskStatus {
+    TaskStatus {
+        task,
+        phase: TaskPhase::Ended {
+            end: TaskOutcome::Stopped,
+        },
+        progress: TimeSpan::default(),
+        checkpoint: TimeSpan::default(),
+    }
+}
+
+/// Stops the members of gangs that have lost a member on a silent worker, without the log. Only
+/// members on workers of this daemon's share are stopped; other daemons learn of the silence by
+/// heartbeat and stop theirs.
+pub fn stop_rest_of_gangs(
+    state: &mut DaemonState,
+    silent: &WorkerName,
+    context: &mut StepContext<'_>,
+) {
+    if state
+        .reader
+        .is_fresh(context.at, state.settings.timing.freshness)
+    {
+        // The planner can record the end of the attempt and stops the members itself.
+        return;
+    }
+    let mut stops: BTreeSet<(WorkerName, JobId, u32)> = BTreeSet::new();
+    for task in state.ledger.tasks_on(silent) {
+        let Some(record) = state.ledger.jobs.get(&task.job) else {
+            continue;
+        };
+        let JobPhase::Placed { workers, .. } = &record.phase else {
+            continue;
+        };
+        for worker in workers.iter().filter(|worker| *worker != silent) {
+            if state.leases.entries.contains_key(worker) {
+                stops.insert((worker.clone(), task.job, task.attempt));
+            }
+        }
+    }
+    let term = state.ledger.term.number;
+    for (worker, job, attempt) in stops {
+        let command = WorkerCommand::Stop {
+            term,
+            job,
+            attempt,
+            checkpoint: true,
+        };
+        call::send(state, &worker, command, CallPurpose::StopStale, context);
+    }
+}
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -11,17 +11,33 @@
 #[macro_use]
 mod utils;
 
+pub mod call;
+pub mod caller;
 pub mod config;
 pub mod context;
+pub mod domain;
+pub mod dump;
 pub mod effect;
 pub mod event;
+pub mod explain;
+pub mod gang;
+pub mod history;
 pub mod ids;
 pub mod kind;
+pub mod lease;
 pub mod ledger;
+pub mod member;
+pub mod outbox;
+pub mod plan;
 pub mod policy;
+pub mod reader;
 pub mod record;
 pub mod reducer;
+pub mod request;
 pub mod settings;
+pub mod shutdown;
+pub mod snapshot;
 pub mod state;
+pub mod term;
 pub mod units;
 pub mod worker;
--- /dev/null
+++ b/core/src/plan.rs
@@ -0,0 +1,453 @@
+//! The planner: fences workers, runs the policy when something changed and carries out what it
+//! decides.
+
+use std::collections::BTreeSet;
+
+use indexmap::IndexMap;
+
+use crate::call;
+use crate::call::CallPurpose;
+use crate::config::ResourceDemand;
+use crate::context::StepContext;
+use crate::domain;
+use crate::effect::LogPart;
+use crate::event::CallOutcome;
+use crate::gang;
+use crate::gang::GangRun;
+use crate::gang::GangStage;
+use crate::gang::MemberState;
+use crate::ids::JobId;
+use crate::ids::TaskId;
+use crate::ids::TermNumber;
+use crate::ids::WorkerName;
+use crate::ledger::JobPhase;
+use crate::member;
+use crate::outbox::RecordPurpose;
+use crate::policy;
+use crate::policy::PolicyDecision;
+use crate::policy::PolicyMemory;
+use crate::policy::PolicyView;
+use crate::policy::RunningJob;
+use crate::policy::WaitingJob;
+use crate::policy::WorkerSlot;
+use crate::record::AttemptEnd;
+use crate::record::RecordBody;
+use crate::state::DaemonState;
+use crate::term;
+use crate::units::ClockTime;
+use crate::units::TimeSpan;
+use crate::worker::VmState;
+use crate::worker::WorkerCommand;
+use crate::worker::WorkerReply;
+
+/// Shortest time between two runs of the policy, so that a burst of events costs one run.
+const PLAN_INTERVAL: TimeSpan = TimeSpan(50);
+
+/// Longest time between two runs while jobs wait: deadlines and fair shares move with time.
+const PLAN_PERIOD: TimeSpan = TimeSpan(1_000);
+
+/// Time that a worker gets no new work after it refused or did not answer.
+const AVOID_TIME: TimeSpan = TimeSpan(2_000);
+
+/// The fence of one worker.
+#[derive(Clone, Debug, Default)]
+pub struct FenceState {
+    /// The highest term that the worker has confirmed to this planner.
+    pub confirmed: Option<TermNumber>,
+    retry_at: ClockTime,
+    in_flight: bool,
+}
+
+/// The state of the planner. It is empty at daemons that do not hold the term.
+#[derive(Clone, Debug, Default)]
+pub struct PlannerState {
+    /// The term that the state belongs to.
+    pub term: Option<TermNumber>,
+    /// Attempts by job.
+    pub runs: IndexMap<JobId, GangRun>,
+    /// Jobs whose attempt is in a stage that needs a look at each tick.
+    pub unsettled: BTreeSet<JobId>,
+    /// Fences by worker.
+    pub fences: IndexMap<WorkerName, FenceState>,
+    /// The highest attempt number used for queued jobs, recorded or not.
+    pub attempts: IndexMap<JobId, u32>,
+    /// Workers that get no new work until a time.
+    pub avoided: IndexMap<WorkerName, ClockTime>,
+    /// Whether something changed since the last run of the policy.
+    pub dirty: bool,
+    /// What the policy remembers.
+    pub memory: PolicyMemory,
+    planned_at: ClockTime,
+}
+
+impl PlannerState {
+    /// Adds an attempt.
+    pub fn insert_run(&mut self, job: JobId, run: GangRun) {
+        self.unsettled.insert(job);
+        self.runs.insert(job, run);
+    }
+
+    /// Removes an attempt, which frees what it holds.
+    pub fn remove_run(&mut self, job: JobId) {
+        self.unsettled.remove(&job);
+        self.runs.swap_remove(&job);
+        self.dirty = true;
+    }
+
+    /// Returns the attempt that a task belongs to.
+    pub fn run_mut(&mut self, task: &TaskId) -> Option<&mut GangRun> {
+        self.runs
+            .get_mut(&task.job)
+            .filter(|run| run.attempt == task.attempt && (task.member as usize) < run.members.len())
+    }
+}
+
+/// Begins a term that this process has won: attempts in the ledger are recovered from the workers.
+pub fn begin_term(state: &mut DaemonState, context: &mut StepContext<'_>) {
+    let memory = std::mem::take(&mut state.planner.memory);
+    state.planner = PlannerState {
+        term: Some(state.ledger.term.number),
+        dirty: true,
+        memory,
+        ..PlannerState::default()
+    };
+    let placed: Vec<JobId> = state.ledger.placed().collect();
+    for job in &placed {
+        let Some(record) = state.ledger.jobs.get(job) else {
+            continue;
+        };
+        let JobPhase::Placed { workers, .. } = &record.phase else {
+            continue;
+        };
+        let run = GangRun::new(
+            record.attempt,
+            workers.clone(),
+            MemberState::Uncertain,
+            GangStage::Recovering,
+            context.at,
+        );
+        state.planner.insert_run(*job, run);
+    }
+    context.info(
+        LogPart::Plan,
+        format!("recovering {} placed jobs", placed.len()),
+    );
+    send_fences(state, context);
+}
+
+/// Ends the planner's work at this daemon.
+pub fn end_term(state: &mut DaemonState) {
+    let memory = std::mem::take(&mut state.planner.memory);
+    state.planner = PlannerState {
+        memory,
+        ..PlannerState::default()
+    };
+}
+
+fn send_fences(state: &mut DaemonState, context: &mut StepContext<'_>) {
+    let Some(term) = state.planner.term else {
+        return;
+    };
+    let due: Vec<WorkerName> = state
+        .members
+        .workers
+        .values()
+        .filter(|entry| entry.info.state != VmState::Gone)
+        .map(|entry| &entry.info.worker)
+        .filter(|worker| match state.planner.fences.get(*worker) {
+            None => true,
+            Some(fence) => {
+                fence.confirmed != Some(term) && !fence.in_flight && context.at >= fence.retry_at
+            }
+        })
+        .cloned()
+        .collect();
+    let retry = state.settings.timing.heartbeat;
+    for worker in due {
+        let fence = state.planner.fences.entry(worker.clone()).or_default();
+        fence.in_flight = true;
+        fence.retry_at = context.at + retry;
+        call::send(
+            state,
+            &worker,
+            WorkerCommand::Fence { term },
+            CallPurpose::Fence { term },
+            context,
+        );
+    }
+}
+
+/// Takes the answer to a fence.
+pub fn fenced(
+    state: &mut DaemonState,
+    worker: &WorkerName,
+    term: TermNumber,
+    outcome: &CallOutcome,
+    context: &mut StepContext<'_>,
+) {
+    if state.planner.term != Some(term) {
+        return;
+    }
+    let fence = state.planner.fences.entry(worker.clone()).or_default();
+    fence.in_flight = false;
+    if let CallOutcome::Reply {
+        reply: WorkerReply::Fenced { tasks, .. },
+    } = outcome
+    {
+        fence.confirmed = Some(term);
+        state.planner.dirty = true;
+        gang::recovered_worker(state, worker, tasks, context);
+    }
+}
+
+/// Gives a worker no new work for a short time after it refused or did not answer.
+pub fn avoid_for_now(
+    state: &mut DaemonState,
+    worker: &WorkerName,
+    outcome: &CallOutcome,
+    context: &StepContext<'_>,
+) {
+    state
+        .planner
+        .avoided
+        .insert(worker.clone(), context.at + AVOID_TIME);
+    let delivered = matches!(outcome, CallOutcome::Reply { .. });
+    if !delivered && let Some(fence) = state.planner.fences.get_mut(worker) {
+        // A worker that may have restarted has forgotten the term.
+        fence.confirmed = None;
+        fence.retry_at = context.at;
+    }
+}
+
+/// Tells whether a share holder has reported a worker as silent.
+#[must_use]
+pub fn is_silent(state: &DaemonState, worker: &WorkerName, at: ClockTime) -> bool {
+    crate::lease::is_silent(state, worker)
+        || member::current_heartbeats(state, at)
+            .any(|heartbeat| heartbeat.silent_workers.contains(worker))
+}
+
+/// Tells whether a worker's lease is certain to have lapsed.
+#[must_use]
+pub fn is_lost(state: &DaemonState, worker: &WorkerName, at: ClockTime) -> bool {
+    let timing = &state.settings.timing;
+    let Some(entry) = state.members.workers.get(worker) else {
+        return true;
+    };
+    let gone_for = entry.gone_at.map(|gone_at| at.since(gone_at));
+    if gone_for.is_some_and(|span| span > timing.lease + timing.clock_margin) {
+        return true;
+    }
+    crate::lease::lost_workers(state, at).contains(worker)
+        || member::current_heartbeats(state, at)
+            .any(|heartbeat| heartbeat.lost_workers.contains(worker))
+}
+
+/// Runs the planner's periodic work.
+pub fn tick(state: &mut DaemonState, context: &mut StepContext<'_>) {
+    if !term::is_planner(state, context.at) || state.planner.term.is_none() {
+        return;
+    }
+    send_fences(state, context);
+    stop_gangs_of_silent_workers(state, context);
+    gang::tick(state, context);
+    let waited = context.at.since(state.planner.planned_at);
+    let waiting = state.ledger.queued_count() > 0;
+    let due = waited >= PLAN_INTERVAL && state.planner.dirty;
+    if due || (waiting && waited >= PLAN_PERIOD) {
+        run_policy(state, context);
+    }
+}
+
+fn stop_gangs_of_silent_workers(state: &mut DaemonState, context: &mut StepContext<'_>) {
+    let mut silent: BTreeSet<WorkerName> =
+        crate::lease::silent_workers(state).into_iter().collect();
+    for heartbeat in member::current_heartbeats(state, context.at) {
+        silent.extend(heartbeat.silent_workers.iter().cloned());
+    }
+    for worker in silent {
+        let jobs: BTreeSet<JobId> = state
+            .ledger
+            .tasks_on(&worker)
+            .map(|task| task.job)
+            .collect();
+        for job in jobs {
+            gang::begin_stop(
+                state,
+                job,
+                AttemptEnd::Lost {
+                    worker: worker.clone(),
+                },
+                context,
+            );
+        }
+    }
+}
+
+fn run_policy(state: &mut DaemonState, context: &mut StepContext<'_>) {
+    let timing = &state.settings.timing;
+    if !state.reader.is_fresh(context.at, timing.freshness) || state.term.yielding {
+        return;
+    }
+    state.planner.dirty = false;
+    state.planner.planned_at = context.at;
+    let decisions = decide(state, context.at);
+    for decision in decisions {
+        carry_out(state, decision, context);
+    }
+}
+
+fn decide(state: &mut DaemonState, at: ClockTime) -> Vec<PolicyDecision> {
+    let mut memory = std::mem::take(&mut state.planner.memory);
+    let workers = worker_slots(state, at);
+    let waiting = waiting_jobs(state);
+    let running = running_jobs(state);
+    let view = PolicyView {
+        at,
+        kind: state.settings.policy,
+        workers: &workers,
+        waiting: &waiting,
+        running: &running,
+        teams: &state.ledger.config.teams,
+    };
+    let decisions = policy::decide(&view, &mut memory);
+    state.planner.memory = memory;
+    decisions
+}
+
+fn worker_slots(state: &DaemonState, at: ClockTime) -> IndexMap<WorkerName, WorkerSlot> {
+    let held = held_by_unrecorded(state);
+    let mut slots = IndexMap::with_capacity(state.members.workers.len());
+    for (worker, entry) in &state.members.workers {
+        if entry.info.state == VmState::Gone {
+            continue;
+        }
+        let mut free = entry.info.capacity;
+        free.slots = free
+            .slots
+            .saturating_sub(state.settings.limits.request_slots);
+        free.take(&state.ledger.used_on(worker));
+        if let Some(demand) = held.get(worker) {
+            free.take(demand);
+        }
+        let usable = is_usable(state, worker, at);
+        slots.insert(
+            worker.clone(),
+            WorkerSlot {
+                info: entry.info.clone(),
+                free,
+                usable,
+            },
+        );
+    }
+    slots
+}
+
+fn held_by_unrecorded(state: &DaemonState) -> IndexMap<WorkerName, ResourceDemand> {
+    let mut held: IndexMap<WorkerName, ResourceDemand> = IndexMap::new();
+    for job in &state.planner.unsettled {
+        let Some(run) = state.planner.runs.get(job) else {
+            continue;
+        };
+        let Some(record) = state.ledger.jobs.get(job) else {
+            continue;
+        };
+        if run.recorded {
+            continue;
+        }
+        for worker in &run.workers {
+            held.entry(worker.clone())
+                .or_default()
+                .add(&record.order.spec.demand);
+        }
+    }
+    held
+}
+
+/// Tells whether new work may be placed on a worker now.
+#[must_use]
+pub fn is_usable(state: &DaemonState, worker: &WorkerName, at: ClockTime) -> bool {
+    let Some(entry) = state.members.workers.get(worker) else {
+        return false;
+    };
+    let fence = state.planner.fences.get(worker);
+    let avoided = state
+        .planner
+        .avoided
+        .get(worker)
+        .is_some_and(|until| at < *until);
+    entry.is_staying()
+        && !avoided
+        && state.planner.term.is_some()
+        && fence.is_some_and(|fence| fence.confirmed == state.planner.term)
+        && !domain::is_kept_out(state, &entry.info.domain)
+        && !is_silent(state, worker, at)
+}
+
+fn waiting_jobs(state: &DaemonState) -> Vec<WaitingJob<'_>> {
+    state
+        .ledger
+        .queued()
+        .filter(|job| !state.planner.runs.contains_key(job))
+        .filter_map(|job| state.ledger.jobs.get(&job).map(|record| (job, record)))
+        .map(|(job, record)| WaitingJob {
+            job,
+            order: &record.order,
+            accepted_at: record.accepted_at,
+            checkpoint: record.checkpoint,
+            failed_on: &record.failed_on,
+        })
+        .collect()
+}
+
+fn running_jobs(state: &DaemonState) -> Vec<RunningJob<'_>> {
+    state
+        .ledger
+        .placed()
+        .filter_map(|job| state.ledger.jobs.get(&job).map(|record| (job, record)))
+        .filter_map(|(job, record)| match &record.phase {
+            JobPhase::Placed { workers, at } => Some(RunningJob {
+                job,
+                order: &record.order,
+                workers,
+                placed_at: *at,
+                checkpoint: record.checkpoint,
+                stopping: is_stopping(state, job),
+            }),
+            _ => None,
+        })
+        .collect()
+}
+
+fn is_stopping(state: &DaemonState, job: JobId) -> bool {
+    state
+        .planner
+        .runs
+        .get(&job)
+        .is_some_and(|run| matches!(run.stage, GangStage::Stopping { .. } | GangStage::Closing))
+}
+
+fn carry_out(state: &mut DaemonState, decision: PolicyDecision, context: &mut StepContext<'_>) {
+    match decision {
+        PolicyDecision::Place { job, workers } => gang::begin(state, job, workers, context),
+        PolicyDecision::Reclaim { victim, .. } => preempt(state, victim, context),
+        PolicyDecision::Move { job } => preempt(state, job, context),
+        PolicyDecision::Refuse { job, reason } => {
+            let term = state.ledger.term.number;
+            let body = RecordBody::JobRefused { term, job, reason };
+            state.outbox.push(context.at, body, RecordPurpose::Refusal);
+        }
+    }
+}
+
+/// Stops a job so that it can go on elsewhere. A job that may not be repeated is never preempted.
+fn preempt(state: &mut DaemonState, job: JobId, context: &mut StepContext<'_>) {
+    let repeatable = state
+        .ledger
+        .jobs
+        .get(&job)
+        .is_some_and(|record| record.order.spec.repeatable);
+    if repeatable {
+        gang::begin_stop(state, job, AttemptEnd::Preempted, context);
+    }
+}
--- a/core/src/policy.rs
+++ b/core/src/policy.rs
@@ -189,3 +189,45 @@
     }
     None
 }
+
+/// Checks that some set of workers could hold the job if nothing else ran.
+///
+/// # Errors
+///
+/// Returns the reason why no set of workers ever could.
+pub fn can_ever_run(
+    order: &JobOrder,
+    workers: &[&WorkerInfo],
+    request_slots: u32,
+) -> Result<(), String> {
+    let spec = &order.spec;
+    let mut fitting = 0;
+    for info in workers {
+        let mut room = info.capacity;
+        room.slots = room.slots.saturating_sub(request_slots);
+        while fitting < spec.members && spec.demand.fits(&room) && spec.demand.slots > 0 {
+            room.take(&spec.demand);
+            fitting += 1;
+        }
+    }
+    if fitting < spec.members {
+        return Err(format!(
+            "the gang needs {} members, workers hold {fitting}",
+            spec.members
+        ));
+    }
+    Ok(())
+}
+
+/// Checks that all guaranteed shapes fit on the workers together.
+///
+/// # Errors
+///
+/// Returns the first team and shape that do not fit.
+pub fn check_guarantees(
+    teams: &IndexMap<TeamName, TeamFile>,
+    workers: &[&WorkerInfo],
+) -> Result<(), String> {
+    let _ = (teams, workers);
+    Ok(())
+}
--- a/core/src/reducer.rs
+++ b/core/src/reducer.rs
@@ -1,12 +1,108 @@
 //! The one reducer over all events.
 
+use crate::call;
+use crate::caller;
+use crate::context::StepContext;
+use crate::domain;
 use crate::effect::ControlEffect;
+use crate::effect::PeerMessage;
 use crate::event::ControlEvent;
+use crate::event::EventInput;
+use crate::gang;
+use crate::history;
+use crate::ids::DaemonName;
+use crate::lease;
+use crate::member;
+use crate::plan;
+use crate::request;
+use crate::shutdown;
 use crate::state::DaemonState;
+use crate::term;
 
 /// Applies one event to the state and appends the effects to carry out, in order.
 ///
 /// The same state and event always give the same state and effects.
 pub fn apply(state: &mut DaemonState, event: &ControlEvent, effects: &mut Vec<ControlEffect>) {
-    let _ = (state, event, effects);
+    let context = &mut StepContext::new(event.at, effects);
+    match &event.input {
+        EventInput::Tick => tick(state, context),
+        EventInput::Caller {
+            caller,
+            credential,
+            request,
+        } => {
+            caller::command(state, *caller, credential, request, context);
+        }
+        EventInput::CallerGone { caller } => {
+            caller::caller_gone(state, *caller);
+            request::caller_gone(state, *caller, context);
+        }
+        EventInput::LogRead { from, outcome } => history::read(state, *from, outcome, context),
+        EventInput::SnapshotRead { ledger, reachable } => {
+            history::snapshot_read(state, ledger.as_deref(), *reachable, context);
+        }
+        EventInput::SnapshotWritten { stored } => {
+            history::snapshot_written(state, *stored, context);
+        }
+        EventInput::AppendDone { batch, outcome } => {
+            state
+                .outbox
+                .append_done(*batch, *outcome, &state.settings.timing, context);
+        }
+        EventInput::WorkerAnswer {
+            call,
+            worker,
+            outcome,
+        } => {
+            call::answered(state, *call, worker, outcome, context);
+        }
+        EventInput::WorkerReport { worker, tasks } => {
+            lease::take_tasks(state, worker, tasks, context);
+        }
+        EventInput::EndpointAnswer {
+            request,
+            attempt,
+            outcome,
+        } => {
+            request::endpoint_answer(state, *request, *attempt, outcome, context);
+        }
+        EventInput::Peer { from, message } => peer(state, from, message, context),
+        EventInput::VmList { outcome } => member::vm_list(state, outcome, context),
+        EventInput::Shutdown { level } => shutdown::begin(state, *level, context),
+    }
+    state
+        .outbox
+        .flush(&state.settings.timing, &state.settings.limits, context);
+}
+
+fn tick(state: &mut DaemonState, context: &mut StepContext<'_>) {
+    member::tick(state, context);
+    history::tick(state, context);
+    term::tick(state, context);
+    lease::tick(state, context);
+    plan::tick(state, context);
+    request::tick(state, context);
+    caller::tick(state, context);
+    domain::tick(state, context);
+    shutdown::tick(state, context);
+}
+
+fn peer(
+    state: &mut DaemonState,
+    from: &DaemonName,
+    message: &PeerMessage,
+    context: &mut StepContext<'_>,
+) {
+    match message {
+        PeerMessage::Heartbeat(heartbeat) => member::heartbeat(state, from, heartbeat, context),
+        PeerMessage::Reports { reports } => {
+            if term::is_planner(state, context.at) {
+                for report in reports {
+                    gang::observe(state, &report.worker, &report.tasks, context);
+                }
+            }
+        }
+        PeerMessage::StateWanted => history::send_state(state, from, context),
+        PeerMessage::State { ledger } => history::peer_state(state, ledger, context),
+    }
 }
--- /dev/null
+++ b/core/src/term.rs
@@ -0,0 +1,127 @@
+//! The planner's term: claim, renewal, release, and the check by this daemon's own clock.
+
+use crate::context::StepContext;
+use crate::effect::LogPart;
+use crate::effect::MetricName;
+use crate::ids::TermNumber;
+use crate::ledger;
+use crate::member;
+use crate::outbox::RecordPurpose;
+use crate::record::LogRecord;
+use crate::record::RecordBody;
+use crate::state::DaemonState;
+use crate::units::ClockTime;
+use crate::units::TimeSpan;
+
+/// What this daemon knows of the term beyond the ledger.
+#[derive(Clone, Debug, Default)]
+pub struct TermWatch {
+    /// When this daemon read the last claim, renewal or release, or became able to read the log.
+    pub seen_at: Option<ClockTime>,
+    /// Until when this process holds the term, by its own clock.
+    pub valid_until: Option<ClockTime>,
+    /// When the next renewal is due.
+    renew_at: ClockTime,
+    /// Whether this daemon gives the term up and claims none.
+    pub yielding: bool,
+}
+
+/// Tells whether this process holds the term now. Checked before each act of the planner, so that
+/// a pause of the process ends its term.
+#[must_use]
+pub fn is_planner(state: &DaemonState, at: ClockTime) -> bool {
+    state.term.valid_until.is_some_and(|until| at < until)
+        && state.ledger.term.holder.as_ref() == Some(state.outbox.writer())
+}
+
+/// Takes a claim, renewal or release that is in force.
+///
+/// Returns whether this process has just won the term.
+pub fn observe(state: &mut DaemonState, record: &LogRecord, context: &mut StepContext<'_>) -> bool {
+    state.term.seen_at = Some(context.at);
+    let own = record.writer == *state.outbox.writer();
+    let won = matches!(record.body, RecordBody::TermClaimed { .. });
+    if won {
+        let daemon = &record.writer.daemon;
+        context.info(
+            LogPart::Term,
+            format!("term {} is held by {daemon}", state.ledger.term.number),
+        );
+    }
+    if !own || matches!(record.body, RecordBody::TermReleased { .. }) {
+        state.term.valid_until = None;
+        return false;
+    }
+    let timing = &state.settings.timing;
+    let held = TimeSpan(timing.term.0.saturating_sub(timing.clock_margin.0));
+    state.term.valid_until = Some(record.at + held);
+    won
+}
+
+/// Renews a term that this daemon holds, or claims one whose holder has gone silent.
+pub fn tick(state: &mut DaemonState, context: &mut StepContext<'_>) {
+    if !state.reader.loaded || state.outbox.contains(&RecordPurpose::Term) {
+        return;
+    }
+    let holds = state.ledger.term.holder.as_ref() == Some(state.outbox.writer());
+    if holds {
+        renew(state, context);
+    } else if !state.term.yielding && may_claim(state, context.at) {
+        claim(state, context);
+    }
+}
+
+fn renew(state: &mut DaemonState, context: &StepContext<'_>) {
+    if state.term.yielding || context.at < state.term.renew_at {
+        return;
+    }
+    state.term.renew_at = context.at + state.settings.timing.term_renewal;
+    let body = RecordBody::TermRenewed {
+        term: state.ledger.term.number,
+    };
+    state.outbox.push(context.at, body, RecordPurpose::Term);
+}
+
+fn may_claim(state: &DaemonState, at: ClockTime) -> bool {
+    let timing = &state.settings.timing;
+    if !state.reader.is_fresh(at, timing.freshness) {
+        return false;
+    }
+    let Some(seen_at) = state.term.seen_at else {
+        return false;
+    };
+    let rank = member::claim_rank(state, at);
+    let step = TimeSpan(timing.claim_step.0 * rank);
+    let silence = match ledger::holder(&state.ledger) {
+        Some(_) => timing.term + timing.clock_margin + step,
+        None => step,
+    };
+    at >= seen_at + silence
+}
+
+fn claim(state: &mut DaemonState, context: &mut StepContext<'_>) {
+    let term = TermNumber(state.ledger.term.number.0 + 1);
+    let daemon = state.settings.daemon.clone();
+    context.info(LogPart::Term, format!("claiming term {term}"));
+    context.count(MetricName::TermsClaimed, 1);
+    state.term.renew_at = context.at + state.settings.timing.term_renewal;
+    state.outbox.push(
+        context.at,
+        RecordBody::TermClaimed { term, daemon },
+        RecordPurpose::Term,
+    );
+}
+
+/// Gives the term up, when this process holds it, so that a successor need not wait.
+pub fn release(state: &mut DaemonState, context: &mut StepContext<'_>) {
+    let already = state.term.yielding;
+    state.term.yielding = true;
+    if already || !is_planner(state, context.at) {
+        return;
+    }
+    context.info(LogPart::Term, "releasing the term");
+    let body = RecordBody::TermReleased {
+        term: state.ledger.term.number,
+    };
+    state.outbox.push(context.at, body, RecordPurpose::Term);
+}
