Add models of the log, workers and VM list

Cause: the daemon, its tests and the local mode need the platform's log, workers and VM list without sockets. Ruled out: stand-ins with threads and their own clock, because a fault test has to pause and advance time. Change: `LogModel`, `WorkerModel` and `VmModel` take the time as an argument and have switchable faults. A worker notes facts (starts, ends, answered requests) for later checks. Behaviour of the daemon does not change. Conclusion: HTTP stand-ins and the in-memory driver share one behaviour.

--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -1,4 +1,17 @@
 //! Stand-ins for the platform: pure models of its log, workers and VM list.
+//!
+//! A model opens no socket, starts no thread and reads no clock: the time is an argument of each
+//! call. The same models serve behind HTTP and in in-memory tests.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 #![warn(clippy::all)]
+
+#[macro_use]
+mod utils;
+
+pub mod endpoint;
+pub mod fact;
+pub mod log;
+pub mod task;
+pub mod vms;
+pub mod worker;
--- /dev/null
+++ b/standin/src/log.rs
@@ -0,0 +1,211 @@
+//! Model of the platform's log: named append-only streams with offsets and retention.
+
+use std::collections::VecDeque;
+
+use indexmap::IndexMap;
+
+use mustardpath_core::ids::LogOffset;
+use mustardpath_core::units::ClockTime;
+use mustardpath_core::units::TimeSpan;
+
+plain_data! {
+    /// Faults that can be switched on and off while the model runs.
+    #[derive(Copy, Default)]
+    #[serde(default)]
+    pub struct LogFault {
+        /// Nothing can be read or appended.
+        pub down: bool,
+        /// Appends are refused and store nothing.
+        pub refuse_appends: bool,
+        /// Appends are stored and their answers are lost.
+        pub lose_answers: bool,
+        /// Each append is stored twice.
+        pub store_twice: bool,
+        /// Delay of each answer, which the owner applies.
+        pub slow: TimeSpan,
+    }
+
+    /// Limits of the log.
+    #[derive(Copy)]
+    #[serde(default)]
+    pub struct LogLimits {
+        /// Appends a second over all streams; more are refused.
+        pub appends_per_second: u32,
+        /// Age beyond which records are dropped.
+        pub retention: TimeSpan,
+    }
+}
+
+plain_data! {
+    /// What became of an append.
+    #[serde(tag = "append", rename_all = "snake_case")]
+    pub enum AppendReply {
+        /// The records are stored.
+        Stored {
+            /// Offset of the first record.
+            first: LogOffset,
+        },
+        /// Nothing is stored.
+        Refused,
+        /// The records are stored, and the answer is lost.
+        Lost,
+    }
+
+    /// What a read brings.
+    #[serde(tag = "read", rename_all = "snake_case")]
+    pub enum ReadReply {
+        /// Records in order, possibly none.
+        Records {
+            /// Offsets and bytes.
+            records: Vec<(LogOffset, Vec<u8>)>,
+            /// The offset after the last record of the stream.
+            tail: LogOffset,
+        },
+        /// The offset is no longer kept.
+        Expired {
+            /// The oldest offset kept.
+            oldest: LogOffset,
+        },
+        /// The log does not answer.
+        Down,
+    }
+}
+
+impl Default for LogLimits {
+    fn default() -> Self {
+        Self {
+            appends_per_second: 400,
+            retention: TimeSpan::from_secs(3 * 86_400),
+        }
+    }
+}
+
+#[derive(Clone, Debug, Default)]
+struct LogStream {
+    oldest: u64,
+    records: VecDeque<(ClockTime, Vec<u8>)>,
+}
+
+impl LogStream {
+    fn tail(&self) -> u64 {
+        self.oldest + self.records.len() as u64
+    }
+
+    fn drop_older(&mut self, limit: ClockTime) {
+        while self.records.front().is_some_and(|(at, _)| *at < limit) {
+            self.records.pop_front();
+            self.oldest += 1;
+        }
+    }
+}
+
+/// The log.
+#[derive(Clone, Debug, Default)]
+pub struct LogModel {
+    streams: IndexMap<String, LogStream>,
+    limits: LogLimits,
+    fault: LogFault,
+    second: u64,
+    appends: u32,
+}
+
+impl LogModel {
+    /// Creates an empty log.
+    #[must_use]
+    pub fn new(limits: LogLimits) -> Self {
+        Self {
+            limits,
+            ..Self::default()
+        }
+    }
+
+    /// Returns the faults in force.
+    #[must_use]
+    pub const fn fault(&self) -> LogFault {
+        self.fault
+    }
+
+    /// Replaces the faults in force.
+    pub const fn set_fault(&mut self, fault: LogFault) {
+        self.fault = fault;
+    }
+
+    /// Appends records to a stream as one unit.
+    pub fn append(&mut self, stream: &str, records: &[Vec<u8>], at: ClockTime) -> AppendReply {
+        if self.fault.down || self.fault.refuse_appends || !self.admit(at) {
+            return AppendReply::Refused;
+        }
+        self.expire(at);
+        let target = self.streams.entry(stream.to_string()).or_default();
+        let first = LogOffset(target.tail());
+        let copies = if self.fault.store_twice { 2 } else { 1 };
+        for record in (0..copies).flat_map(|_| records) {
+            target.records.push_back((at, record.clone()));
+        }
+        if self.fault.lose_answers {
+            return AppendReply::Lost;
+        }
+        AppendReply::Stored { first }
+    }
+
+    /// Reads at most `max_records` of a stream, beginning at `from`.
+    pub fn read(
+        &mut self,
+        stream: &str,
+        from: LogOffset,
+        max_records: usize,
+        at: ClockTime,
+    ) -> ReadReply {
+        if self.fault.down {
+            return ReadReply::Down;
+        }
+        self.expire(at);
+        let Some(source) = self.streams.get(stream) else {
+            return ReadReply::Records {
+                records: Vec::new(),
+                tail: LogOffset(0),
+            };
+        };
+        if from.0 < source.oldest {
+            return ReadReply::Expired {
+                oldest: LogOffset(source.oldest),
+            };
+        }
+        let skip = usize::try_from(from.0 - source.oldest).unwrap_or(usize::MAX);
+        let records = source.records.iter().enumerate().skip(skip);
+        ReadReply::Records {
+            records: records
+                .take(max_records)
+                .map(|(index, (_, bytes))| (LogOffset(source.oldest + index as u64), bytes.clone()))
+                .collect(),
+            tail: LogOffset(source.tail()),
+        }
+    }
+
+    /// Returns the oldest offset and the tail of a stream, whatever the faults.
+    #[must_use]
+    pub fn bounds(&self, stream: &str) -> (LogOffset, LogOffset) {
+        self.streams
+            .get(stream)
+            .map_or((LogOffset(0), LogOffset(0)), |source| {
+                (LogOffset(source.oldest), LogOffset(source.tail()))
+            })
+    }
+
+    fn admit(&mut self, at: ClockTime) -> bool {
+        let second = at.0 / 1_000;
+        if second != self.second {
+            self.second = second;
+            self.appends = 0;
+        }
+        self.appends += 1;
+        self.appends <= self.limits.appends_per_second
+    }
+
+    fn expire(&mut self, at: ClockTime) {
+        let limit = at - self.limits.retention;
+        for stream in self.streams.values_mut() {
+            stream.drop_older(limit);
+        }
+    }
+}
--- /dev/null
+++ b/standin/src/task.rs
@@ -0,0 +1,202 @@
+//! One task on a model worker: reservation, run, progress and end.
+
+use mustardpath_core::config::ResourceDemand;
+use mustardpath_core::ids::TaskId;
+use mustardpath_core::units::ClockTime;
+use mustardpath_core::units::TimeSpan;
+use mustardpath_core::worker::TaskOutcome;
+use mustardpath_core::worker::TaskPhase;
+use mustardpath_core::worker::TaskStatus;
+
+/// Real run time of a task or request whose payload names none.
+pub const DEFAULT_RUN: TimeSpan = TimeSpan(1_000);
+
+/// What a payload says about the real course of its work.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Deserialize)]
+#[serde(default)]
+pub struct WorkPayload {
+    /// Real run time in milliseconds.
+    pub run_ms: u64,
+    /// Whether the work fails at its end.
+    pub fail: bool,
+    /// The result of work that succeeds.
+    pub result: String,
+    /// Whether progress can be saved.
+    pub checkpoints: bool,
+}
+
+impl Default for WorkPayload {
+    fn default() -> Self {
+        Self {
+            run_ms: DEFAULT_RUN.0,
+            fail: false,
+            result: "done".into(),
+            checkpoints: true,
+        }
+    }
+}
+
+impl WorkPayload {
+    /// Reads a payload; text that is not a JSON object of this form gives the defaults.
+    #[must_use]
+    pub fn parse(text: &str) -> Self {
+        serde_json::from_str(text).unwrap_or_default()
+    }
+}
+
+/// A started task's run.
+#[derive(Clone, Debug)]
+pub(crate) struct TaskCourse {
+    payload: WorkPayload,
+    done: TimeSpan,
+    since: ClockTime,
+    percent: u64,
+    fails_at_once: bool,
+}
+
+impl TaskCourse {
+    pub(crate) fn new(payload: &str, checkpoint: TimeSpan, at: ClockTime, faulty: bool) -> Self {
+        Self {
+            payload: WorkPayload::parse(payload),
+            done: checkpoint,
+            since: at,
+            percent: 100,
+            fails_at_once: faulty,
+        }
+    }
+
+    fn progress(&self, at: ClockTime) -> TimeSpan {
+        let ran = at.since(self.since).0 * self.percent / 100;
+        TimeSpan((self.done.0 + ran).min(self.payload.run_ms.max(self.done.0)))
+    }
+
+    fn account(&mut self, at: ClockTime) {
+        self.done = self.progress(at);
+        self.since = at;
+    }
+
+    fn ends_at(&self) -> ClockTime {
+        if self.fails_at_once {
+            return self.since;
+        }
+        let left = self.payload.run_ms.saturating_sub(self.done.0);
+        self.since + TimeSpan((left * 100).div_ceil(self.percent))
+    }
+
+    fn outcome(&self) -> TaskOutcome {
+        if self.fails_at_once {
+            return TaskOutcome::Failed {
+                reason: "the worker fails every task".into(),
+            };
+        }
+        if self.payload.fail {
+            return TaskOutcome::Failed {
+                reason: "the work failed".into(),
+            };
+        }
+        TaskOutcome::Finished {
+            result: self.payload.result.clone(),
+        }
+    }
+}
+
+/// Where a task stands.
+#[derive(Clone, Debug)]
+pub(crate) enum TaskStage {
+    Reserved { until: ClockTime },
+    Running(TaskCourse),
+    Ended { end: TaskOutcome },
+}
+
+/// A task that a worker knows.
+#[derive(Clone, Debug)]
+pub(crate) struct TaskEntry {
+    pub(crate) task: TaskId,
+    pub(crate) demand: ResourceDemand,
+    pub(crate) stage: TaskStage,
+    pub(crate) revision: u64,
+    pub(crate) progress: TimeSpan,
+    pub(crate) checkpoint: TimeSpan,
+}
+
+impl TaskEntry {
+    pub(crate) const fn is_reserved(&self) -> bool {
+        matches!(self.stage, TaskStage::Reserved { .. })
+    }
+
+    pub(crate) const fn is_running(&self) -> bool {
+        matches!(self.stage, TaskStage::Running(_))
+    }
+
+    pub(crate) const fn has_ended(&self) -> bool {
+        matches!(self.stage, TaskStage::Ended { .. })
+    }
+
+    /// Returns when the task changes by itself: a reservation lapses or a run ends.
+    pub(crate) fn changes_at(&self) -> Option<ClockTime> {
+        match &self.stage {
+            TaskStage::Reserved { until } => Some(*until),
+            TaskStage::Running(course) => Some(course.ends_at()),
+            TaskStage::Ended { .. } => None,
+        }
+    }
+
+    pub(crate) fn save(&mut self, at: ClockTime) {
+        if let TaskStage::Running(course) = &self.stage
+            && course.payload.checkpoints
+        {
+            self.checkpoint = course.progress(at);
+        }
+    }
+
+    pub(crate) fn throttle(&mut self, at: ClockTime, percent: u32) {
+        if let TaskStage::Running(course) = &mut self.stage {
+            course.account(at);
+            course.percent = u64::from(percent.clamp(1, 100));
+        }
+    }
+
+    /// Moves a run past a span in which the whole worker stood still.
+    pub(crate) fn shift(&mut self, paused: TimeSpan) {
+        if let TaskStage::Running(course) = &mut self.stage {
+            course.since = course.since + paused;
+        }
+    }
+
+    /// Ends a run at its own end. Returns whether the work succeeded.
+    pub(crate) fn finish(&mut self, at: ClockTime) -> bool {
+        let TaskStage::Running(course) = &self.stage else {
+            return false;
+        };
+        let end = course.outcome();
+        let finished = matches!(end, TaskOutcome::Finished { .. });
+        self.end(at, end);
+        finished
+    }
+
+    pub(crate) fn end(&mut self, at: ClockTime, end: TaskOutcome) {
+        self.progress = self.progress_at(at);
+        self.stage = TaskStage::Ended { end };
+    }
+
+    fn progress_at(&self, at: ClockTime) -> TimeSpan {
+        match &self.stage {
+            TaskStage::Running(course) => course.progress(at),
+            TaskStage::Reserved { .. } | TaskStage::Ended { .. } => self.progress,
+        }
+    }
+
+    pub(crate) fn status(&self, at: ClockTime) -> TaskStatus {
+        let phase = match &self.stage {
+            TaskStage::Reserved { .. } => TaskPhase::Reserved,
+            TaskStage::Running(_) => TaskPhase::Running,
+            TaskStage::Ended { end } => TaskPhase::Ended { end: end.clone() },
+        };
+        TaskStatus {
+            task: self.task,
+            phase,
+            progress: self.progress_at(at),
+            checkpoint: self.checkpoint,
+        }
+    }
+}
--- /dev/null
+++ b/standin/src/vms.rs
@@ -0,0 +1,144 @@
+//! Model of the platform's list of VMs, which lags behind what it describes.
+
+use indexmap::IndexMap;
+
+use mustardpath_core::ids::DaemonName;
+use mustardpath_core::ids::WorkerName;
+use mustardpath_core::units::ClockTime;
+use mustardpath_core::units::TimeSpan;
+use mustardpath_core::worker::DaemonInfo;
+use mustardpath_core::worker::VmState;
+use mustardpath_core::worker::WorkerInfo;
+
+plain_data! {
+    /// What changed since a version.
+    pub struct VmChanges {
+        /// The version that the changes lead to.
+        pub version: u64,
+        /// Workers that changed.
+        pub workers: Vec<WorkerInfo>,
+        /// Entry VMs that changed.
+        pub daemons: Vec<DaemonInfo>,
+    }
+}
+
+#[derive(Clone, Debug)]
+struct VmEntry<T> {
+    version: u64,
+    at: ClockTime,
+    info: T,
+}
+
+/// The list of VMs.
+#[derive(Clone, Debug, Default)]
+pub struct VmModel {
+    workers: IndexMap<WorkerName, Vec<VmEntry<WorkerInfo>>>,
+    daemons: IndexMap<DaemonName, Vec<VmEntry<DaemonInfo>>>,
+    version: u64,
+    lag: TimeSpan,
+    down: bool,
+}
+
+impl VmModel {
+    /// Creates an empty list whose answers are `lag` old.
+    #[must_use]
+    pub fn new(lag: TimeSpan) -> Self {
+        Self {
+            lag,
+            ..Self::default()
+        }
+    }
+
+    /// Changes how old the list's answers are.
+    pub const fn set_lag(&mut self, lag: TimeSpan) {
+        self.lag = lag;
+    }
+
+    /// Switches the list off or on.
+    pub const fn set_down(&mut self, down: bool) {
+        self.down = down;
+    }
+
+    /// Adds or replaces a worker.
+    pub fn put_worker(&mut self, at: ClockTime, info: WorkerInfo) {
+        self.version += 1;
+        let history = self.workers.entry(info.worker.clone()).or_default();
+        history.push(VmEntry {
+            version: self.version,
+            at,
+            info,
+        });
+    }
+
+    /// Adds or replaces an entry VM.
+    pub fn put_daemon(&mut self, at: ClockTime, info: DaemonInfo) {
+        self.version += 1;
+        let history = self.daemons.entry(info.daemon.clone()).or_default();
+        history.push(VmEntry {
+            version: self.version,
+            at,
+            info,
+        });
+    }
+
+    /// Changes a worker's state. Returns whether the worker is in the list.
+    pub fn set_worker(&mut self, at: ClockTime, worker: &WorkerName, state: VmState) -> bool {
+        let Some(info) = newest(self.workers.get(worker)).cloned() else {
+            return false;
+        };
+        self.put_worker(at, WorkerInfo { state, ..info });
+        true
+    }
+
+    /// Changes an entry VM's state. Returns whether the VM is in the list.
+    pub fn set_daemon(&mut self, at: ClockTime, daemon: &DaemonName, state: VmState) -> bool {
+        let Some(info) = newest(self.daemons.get(daemon)).cloned() else {
+            return false;
+        };
+        self.put_daemon(at, DaemonInfo { state, ..info });
+        true
+    }
+
+    /// Returns what changed after version `since`, as the list shows it at `at`.
+    ///
+    /// Returns `None` while the list is switched off.
+    #[must_use]
+    pub fn changes(&self, since: u64, at: ClockTime) -> Option<VmChanges> {
+        if self.down {
+            return None;
+        }
+        let shown_at = at - self.lag;
+        let workers: Vec<_> = shown(&self.workers, shown_at).collect();
+        let daemons: Vec<_> = shown(&self.daemons, shown_at).collect();
+        let versions = workers.iter().map(|entry| entry.version);
+        let version = versions
+            .chain(daemons.iter().map(|entry| entry.version))
+            .max()
+            .unwrap_or(0);
+        Some(VmChanges {
+            version,
+            workers: changed(&workers, since),
+            daemons: changed(&daemons, since),
+        })
+    }
+}
+
+fn newest<T>(history: Option<&Vec<VmEntry<T>>>) -> Option<&T> {
+    history?.last().map(|entry| &entry.info)
+}
+
+fn shown<K, T>(
+    list: &IndexMap<K, Vec<VmEntry<T>>>,
+    at: ClockTime,
+) -> impl Iterator<Item = &VmEntry<T>> {
+    list.values()
+        .filter_map(move |history| history.iter().rfind(|entry| entry.at <= at))
+}
+
+fn changed<T: Clone>(entries: &[&VmEntry<T>], since: u64) -> Vec<T> {
+    entries
+        .iter()
+        .filter(|entry| entry.version > since)
+        .map(|entry| entry.info.clone())
+        .collect()
+}
