--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -9,6 +9,7 @@
 #[macro_use]
 mod utils;
 
+pub mod checker;
 pub mod endpoint;
 pub mod fact;
 pub mod log;
--- a/standin/src/task.rs
+++ b/standin/src/task.rs
@@ -149,6 +149,13 @@
         }
     }
 
+    /// Adds the run so far to the work done.
+    pub(crate) fn account(&mut self, at: ClockTime) {
+        if let TaskStage::Running(course) = &mut self.stage {
+            course.account(at);
+        }
+    }
+
     pub(crate) fn throttle(&mut self, at: ClockTime, percent: u32) {
         if let TaskStage::Running(course) = &mut self.stage {
             course.account(at);
--- a/standin/src/worker.rs
+++ b/standin/src/worker.rs
@@ -91,12 +91,6 @@
         &self.info
     }
 
-    /// Returns the number that changes when the worker restarts.
-    #[must_use]
-    pub const fn boot(&self) -> u64 {
-        self.boot
-    }
-
     /// Returns the address that takes pushed reports, from the last renewal.
     #[must_use]
     pub fn report_to(&self) -> Option<&str> {
@@ -142,6 +136,7 @@
         self.settle(at);
         if fault.paused && self.paused_at.is_none() {
             self.paused_at = Some(at);
+            self.tasks.values_mut().for_each(|entry| entry.account(at));
         }
         if fault.dead != self.fault.dead {
             self.restart(at);
