--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -13,14 +13,13 @@
 
 pub mod call;
 pub mod caller;
-pub mod config;
-pub mod context;
-pub mod domain;
-pub mod dump;
 pub mod collection;
 pub mod config;
+pub mod context;
 pub mod difference;
 pub mod document;
+pub mod domain;
+pub mod dump;
 pub mod effect;
 pub mod event;
 pub mod explain;
