--- a/core/src/effect.rs
+++ b/core/src/effect.rs
@@ -3,7 +3,6 @@
 use indexmap::IndexMap;
 
 use crate::config::TeamFile;
-use crate::event::EncodedSnapshot;
 use crate::ids::BatchId;
 use crate::ids::CallId;
 use crate::ids::CallerId;
@@ -19,18 +18,30 @@
 use crate::ids::TeamName;
 use crate::ids::WorkerName;
 use crate::kind::FailureReport;
+use crate::ledger::LedgerState;
 use crate::record::LogRecord;
 use crate::units::TimeSpan;
 use crate::worker::TaskStatus;
 use crate::worker::WorkerCommand;
 
 plain_data! {
+    /// A take-out of a failure domain that is not on record yet.
+    pub struct DomainHold {
+        /// The failure domain.
+        pub domain: DomainName,
+        /// The domain's version that the take-out was made against. A record with a higher
+        /// version ends the hold.
+        pub base: u64,
+    }
+
     /// What one daemon tells the others about itself every 2 s.
     pub struct PeerHeartbeat {
         /// Number that changes when the daemon's process restarts.
         pub incarnation: u64,
         /// IP number and port that takes pushed reports from workers.
         pub address: String,
+        /// IP number and port of its peer interface.
+        pub peer_address: String,
         /// Its region.
         pub region: RegionName,
         /// Its failure domain.
@@ -39,9 +50,13 @@
         pub next: LogOffset,
         /// The configuration in force at this daemon.
         pub config: ConfigVersion,
-        /// Failure domains that it holds out of use, recorded or not.
+        /// Failure domains that it keeps out of use, recorded or not.
         pub held_domains: Vec<DomainName>,
-        /// Workers of its share whose lease has lapsed without an answer.
+        /// Take-outs that are not on record yet.
+        pub holds: Vec<DomainHold>,
+        /// Workers of its share that have not answered for the suspicion time.
+        pub silent_workers: Vec<WorkerName>,
+        /// Workers of its share whose lease is certain to have lapsed without an answer.
         pub lost_workers: Vec<WorkerName>,
         /// Whether it is stopping.
         pub draining: bool,
@@ -62,7 +77,10 @@
         /// The sender has no ledger and the log is out of reach.
         StateWanted,
         /// The sender's ledger.
-        State(EncodedSnapshot),
+        State {
+            /// The ledger.
+            ledger: Box<LedgerState>,
+        },
     }
 }
 
@@ -369,10 +387,10 @@
         },
         /// Read the newest whole snapshot.
         ReadSnapshot,
-        /// Write a snapshot in pieces.
+        /// Encode a snapshot and write it in pieces.
         WriteSnapshot {
-            /// The snapshot.
-            snapshot: EncodedSnapshot,
+            /// The ledger.
+            ledger: Box<LedgerState>,
         },
         /// Send a command to a worker.
         CallWorker {
