Add the command line

Cause: callers and operators need commands with exit codes that a script can rely on, and a person on call needs tables.

Ruled out: asking no question before a failure domain goes out, because that stops work; reusing connections, because one may have gone silent; treating each answer with a status of 400 and above as a refusal, because an endpoint's answer may have any status: only problem+json is one.

Change: mustardpath submit, status, wait, cancel, answer, request, explain, domain, config, team, dump and ready. A submission without a key gets a random one, printed before it is sent. New dependency percent-encoding for names in paths.

Conclusion: each exit code says whether the command has run.

--- a/src/client.rs
+++ b/src/client.rs
@@ -5,6 +5,8 @@
 use std::time::Duration;
 
 use indexmap::IndexMap;
+use percent_encoding::NON_ALPHANUMERIC;
+use percent_encoding::utf8_percent_encode;
 use quick_error::quick_error;
 use serde::de::DeserializeOwned;
 use ureq::Agent;
@@ -26,6 +28,9 @@
 /// or reports an unknown outcome after 3 s by default.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(15);
 
+/// Media type of an error answer.
+const PROBLEM_MEDIA: &str = "application/problem+json";
+
 /// Largest answer that is read; a dump is the largest.
 const MAX_ANSWER: u64 = 64 << 20;
 
@@ -105,10 +110,23 @@
     }
 }
 
-/// An answer with a status below 400.
+impl ClientError {
+    /// Tells whether the same command may have an answer a moment later, when another daemon takes
+    /// it or this one is ready.
+    #[must_use]
+    pub const fn is_temporary(&self) -> bool {
+        match self {
+            Self::Unreachable(..) | Self::NoAnswer(..) => true,
+            Self::Problem(problem) => matches!(problem.status, 429 | 502..=504),
+            Self::Malformed(_) | Self::BadInput(_) => false,
+        }
+    }
+}
+
+/// An answer that is no problem report.
 #[derive(Clone, Debug)]
 pub struct ClientAnswer {
-    /// The HTTP status.
+    /// The HTTP status. An endpoint's answer may have any.
     pub status: u16,
     /// The body.
     pub body: Vec<u8>,
@@ -121,6 +139,10 @@
     ///
     /// Returns [`ClientError::Malformed`] when the body is something else.
     pub fn read<T: DeserializeOwned>(&self) -> Result<T, ClientError> {
+        if self.status >= 400 {
+            let detail = format!("status {} without problem details", self.status);
+            return Err(ClientError::Malformed(detail));
+        }
         serde_json::from_slice(&self.body)
             .map_err(|error| ClientError::Malformed(error.to_string()))
     }
@@ -241,12 +263,13 @@
             .limit(MAX_ANSWER)
             .read_to_vec()
             .map_err(|error| ClientError::NoAnswer(self.address, error.to_string()))?;
-        if status < 400 {
+        let media = response.headers().get("Content-Type");
+        if media.is_none_or(|media| media.as_bytes() != PROBLEM_MEDIA.as_bytes()) {
             return Ok(ClientAnswer { status, body });
         }
         match serde_json::from_slice(&body) {
             Ok(problem) => Err(ClientError::Problem(problem)),
-            Err(_) => Err(ClientError::Malformed(format!("status {status}"))),
+            Err(error) => Err(ClientError::Malformed(error.to_string())),
         }
     }
 
@@ -267,6 +290,12 @@
     }
 }
 
+/// Encodes text as one segment of a path.
+#[must_use]
+pub fn path_segment(text: &str) -> String {
+    utf8_percent_encode(text, NON_ALPHANUMERIC).to_string()
+}
+
 /// Returns an agent without connection reuse: a reused connection may have gone silent.
 fn agent(wait: Duration) -> Agent {
     Agent::config_builder()
--- /dev/null
+++ b/src/command.rs
@@ -0,0 +1,235 @@
+//! Carries out the commands of the command line.
+
+use std::env;
+use std::io;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use crate::access::AccessKey;
+use crate::arguments::CallerArgs;
+use crate::arguments::CallerVerb;
+use crate::arguments::ConfigStatusArgs;
+use crate::arguments::ConfigVerb;
+use crate::arguments::TeamVerb;
+use crate::client::ClientAnswer;
+use crate::client::ClientCommand;
+use crate::client::ClientError;
+use crate::client::DaemonClient;
+use crate::domain_command;
+use crate::exit::ExitStatus;
+use crate::job_command;
+use crate::table;
+use mustardpath_core::effect::CallerAnswer;
+use mustardpath_core::effect::DaemonView;
+use mustardpath_core::units::TimeSpan;
+
+/// Environment variable that holds the daemon's address.
+const DAEMON_VARIABLE: &str = "MUSTARDPATH_DAEMON";
+
+/// Environment variable that holds the team's name.
+const TEAM_VARIABLE: &str = "MUSTARDPATH_TEAM";
+
+/// Time between two looks at something that is waited for.
+const POLL_INTERVAL: Duration = Duration::from_millis(500);
+
+/// What the commands share.
+#[derive(Debug)]
+pub struct CommandContext {
+    /// The daemon.
+    pub client: DaemonClient,
+    team: Option<String>,
+    json: bool,
+}
+
+/// How a command ends: a status, or the reason why there is no result.
+pub type CommandResult = Result<ExitStatus, ClientError>;
+
+/// Runs one command and returns the exit status.
+#[must_use]
+pub fn run(args: &CallerArgs) -> ExitStatus {
+    let result = CommandContext::new(args).and_then(|context| dispatch(&context, &args.verb));
+    result.unwrap_or_else(|error| {
+        eprintln!("{error}");
+        error.exit()
+    })
+}
+
+fn dispatch(context: &CommandContext, verb: &CallerVerb) -> CommandResult {
+    match verb {
+        CallerVerb::Submit(args) => job_command::submit(context, args),
+        CallerVerb::Status(args) => job_command::status(context, args),
+        CallerVerb::Wait(args) => job_command::wait(context, args),
+        CallerVerb::Cancel(args) => job_command::cancel(context, args),
+        CallerVerb::Answer(args) => job_command::answer(context, args),
+        CallerVerb::Request(args) => job_command::request(context, args),
+        CallerVerb::Explain(args) => job_command::explain(context, args),
+        CallerVerb::Domain(args) => domain_command::run(context, &args.verb),
+        CallerVerb::Config(args) => match &args.verb {
+            ConfigVerb::Status(args) => config_status(context, args),
+        },
+        CallerVerb::Team(args) => match &args.verb {
+            TeamVerb::Status(_) => context.show(&ClientCommand::get("/v1/teams")),
+        },
+        CallerVerb::Dump(_) => dump(context),
+        CallerVerb::Ready(_) => context.show(&ClientCommand::get("/ready")),
+    }
+}
+
+impl CommandContext {
+    fn new(args: &CallerArgs) -> Result<Self, ClientError> {
+        let needs_key = !matches!(args.verb, CallerVerb::Ready(_));
+        let key = if needs_key {
+            let key = AccessKey::read(args.key_file.as_deref());
+            Some(key.map_err(ClientError::BadInput)?)
+        } else {
+            None
+        };
+        Ok(Self {
+            client: DaemonClient::new(address(args.daemon)?, key),
+            team: args.team.clone().or_else(|| env::var(TEAM_VARIABLE).ok()),
+            json: args.json,
+        })
+    }
+
+    /// Returns the header that names the team.
+    ///
+    /// # Errors
+    ///
+    /// Returns a message when no team is given.
+    pub fn team_header(&self) -> Result<(&'static str, String), ClientError> {
+        let team = self.team.clone().ok_or_else(|| {
+            ClientError::BadInput(format!("no team: set {TEAM_VARIABLE} or give --team"))
+        })?;
+        Ok(("Mustardpath-Team", team))
+    }
+
+    /// Sends a command and prints the answer.
+    ///
+    /// # Errors
+    ///
+    /// Returns why there is no answer.
+    pub fn show(&self, command: &ClientCommand<'_>) -> CommandResult {
+        let answer = self.client.send(command)?;
+        self.print(&answer)?;
+        Ok(ExitStatus::Done)
+    }
+
+    /// Prints an answer as a table, or as JSON when the caller asked for it.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the answer is not understood.
+    pub fn print(&self, answer: &ClientAnswer) -> Result<(), ClientError> {
+        let read: CallerAnswer = answer.read()?;
+        if self.json {
+            write_line(&answer.body);
+            return Ok(());
+        }
+        let text = match &read {
+            CallerAnswer::Job(view) => table::job(view),
+            CallerAnswer::Key(view) => table::key(view),
+            CallerAnswer::Reasons { reasons } => lines(reasons),
+            CallerAnswer::Daemons { daemons } => table::daemons(daemons),
+            CallerAnswer::Domains { domains } => table::domains(domains),
+            CallerAnswer::Teams { teams } => table::teams(teams),
+            CallerAnswer::Ready => "ready\n".to_owned(),
+            _ => {
+                return Err(ClientError::Malformed(
+                    "an answer of another kind".to_owned(),
+                ));
+            }
+        };
+        write_out(text.as_bytes());
+        Ok(())
+    }
+}
+
+fn address(option: Option<SocketAddr>) -> Result<SocketAddr, ClientError> {
+    if let Some(address) = option {
+        return Ok(address);
+    }
+    let text = env::var(DAEMON_VARIABLE).map_err(|_| {
+        ClientError::BadInput(format!("no daemon: set {DAEMON_VARIABLE} or give --daemon"))
+    })?;
+    text.parse()
+        .map_err(|_| ClientError::BadInput(format!("{text:?} is not an IP number and port")))
+}
+
+fn lines(lines: &[String]) -> String {
+    lines.iter().map(|line| format!("{line}\n")).collect()
+}
+
+/// Writes to the standard output. A closed pipe is not a failure of the command.
+pub fn write_out(bytes: &[u8]) {
+    let mut output = io::stdout().lock();
+    let _ = output.write_all(bytes);
+}
+
+fn write_line(bytes: &[u8]) {
+    write_out(bytes);
+    write_out(b"\n");
+}
+
+/// Calls `look` until it yields a value or the time is over, with pauses.
+///
+/// # Errors
+///
+/// Returns the error of the last look, or at once one that does not pass by itself.
+pub fn poll<T>(
+    timeout: TimeSpan,
+    mut look: impl FnMut() -> Result<Option<T>, ClientError>,
+) -> Result<Option<T>, ClientError> {
+    let end = Instant::now() + Duration::from_millis(timeout.0);
+    loop {
+        let result = look();
+        let is_over = Instant::now() >= end;
+        match result {
+            Ok(Some(value)) => return Ok(Some(value)),
+            Ok(None) if is_over => return Ok(None),
+            Err(error) if is_over || !error.is_temporary() => return Err(error),
+            Ok(None) | Err(_) => thread::sleep(POLL_INTERVAL),
+        }
+    }
+}
+
+fn dump(context: &CommandContext) -> CommandResult {
+    let answer = context.client.send(&ClientCommand::get("/v1/dump"))?;
+    let _: serde_json::Value = answer.read()?;
+    write_line(&answer.body);
+    Ok(ExitStatus::Done)
+}
+
+fn config_status(context: &CommandContext, args: &ConfigStatusArgs) -> CommandResult {
+    let command = ClientCommand::get("/v1/config/status");
+    let Some(version) = args.version else {
+        return context.show(&command);
+    };
+    let mut last = None;
+    let is_reached = poll(args.timeout, || {
+        let answer = context.client.send(&command)?;
+        let daemons = read_daemons(&answer)?;
+        last = Some(answer);
+        let mut live = daemons.iter().filter(|view| view.live);
+        Ok(live.all(|view| view.config.0 >= version).then_some(()))
+    });
+    if let Some(answer) = &last {
+        context.print(answer)?;
+    }
+    match is_reached? {
+        Some(()) => Ok(ExitStatus::Done),
+        None => {
+            eprintln!("version {version} is not in force at each live daemon");
+            Ok(ExitStatus::Unfinished)
+        }
+    }
+}
+
+fn read_daemons(answer: &ClientAnswer) -> Result<Vec<DaemonView>, ClientError> {
+    match answer.read()? {
+        CallerAnswer::Daemons { daemons } => Ok(daemons),
+        _ => Err(ClientError::Malformed("no list of daemons".to_owned())),
+    }
+}
--- /dev/null
+++ b/src/domain_command.rs
@@ -0,0 +1,146 @@
+//! Commands on failure domains.
+
+use crate::access::is_confirmed;
+use crate::arguments::DomainInArgs;
+use crate::arguments::DomainOutArgs;
+use crate::arguments::DomainVerb;
+use crate::client::ClientAnswer;
+use crate::client::ClientCommand;
+use crate::client::ClientError;
+use crate::command::CommandContext;
+use crate::command::CommandResult;
+use crate::command::poll;
+use crate::exit::ExitStatus;
+use mustardpath_core::effect::CallerAnswer;
+use mustardpath_core::effect::DomainView;
+
+/// Path of the failure domains.
+const DOMAINS: &str = "/v1/domains";
+
+#[derive(serde::Serialize)]
+struct DomainBody<'c> {
+    domain: &'c str,
+    out: bool,
+    operator: &'c str,
+    confirmed: bool,
+}
+
+/// Runs a command on failure domains.
+///
+/// # Errors
+///
+/// Returns why there is no result.
+pub fn run(context: &CommandContext, verb: &DomainVerb) -> CommandResult {
+    match verb {
+        DomainVerb::Out(args) => take_out(context, args),
+        DomainVerb::In(args) => bring_in(context, args),
+        DomainVerb::Status(_) => context.show(&ClientCommand::get(DOMAINS)),
+    }
+}
+
+fn bring_in(context: &CommandContext, args: &DomainInArgs) -> CommandResult {
+    let body = DomainBody {
+        domain: &args.domain,
+        out: false,
+        operator: &args.operator,
+        confirmed: false,
+    };
+    context.print(&post(context, &body)?)?;
+    Ok(ExitStatus::Done)
+}
+
+fn take_out(context: &CommandContext, args: &DomainOutArgs) -> CommandResult {
+    if !args.yes && !is_confirmed(&question(context, &args.domain)?) {
+        eprintln!("not sent: taking a failure domain out needs a yes or the option --yes");
+        return Ok(ExitStatus::Declined);
+    }
+    let mut body = DomainBody {
+        domain: &args.domain,
+        out: true,
+        operator: &args.operator,
+        confirmed: args.yes,
+    };
+    match post(context, &body) {
+        Ok(_) => {}
+        Err(error) if breaks_guarantee(&error) => {
+            if !is_confirmed(&format!("{error}. Take {} out all the same?", args.domain)) {
+                return Err(error);
+            }
+            body.confirmed = true;
+            post(context, &body)?;
+        }
+        // The daemon holds the failure domain even while the log is out of reach.
+        Err(error) if error.exit() == ExitStatus::Unknown => eprintln!("{error}"),
+        Err(error) => return Err(error),
+    }
+    wait_confirmed(context, args)
+}
+
+/// Returns the question that precedes the command, with the work that it stops.
+fn question(context: &CommandContext, domain: &str) -> Result<String, ClientError> {
+    let answer = context.client.send(&ClientCommand::get(DOMAINS))?;
+    let view = find(&answer, domain)?
+        .ok_or_else(|| ClientError::BadInput(format!("failure domain {domain} is not known")))?;
+    let (workers, tasks) = (view.workers, view.tasks);
+    Ok(format!(
+        "Take {domain} out? Its {tasks} tasks on {workers} workers move or stop."
+    ))
+}
+
+fn breaks_guarantee(error: &ClientError) -> bool {
+    matches!(error, ClientError::Problem(problem) if problem.kind.ends_with("breaks_guarantee"))
+}
+
+fn post(context: &CommandContext, body: &DomainBody<'_>) -> Result<ClientAnswer, ClientError> {
+    let body =
+        serde_json::to_vec(body).map_err(|error| ClientError::BadInput(error.to_string()))?;
+    context.client.send(&ClientCommand::post(DOMAINS, &body))
+}
+
+fn wait_confirmed(context: &CommandContext, args: &DomainOutArgs) -> CommandResult {
+    let mut last = None;
+    let done = poll(args.timeout, || {
+        let answer = context.client.send(&ClientCommand::get(DOMAINS))?;
+        let view = find(&answer, &args.domain)?;
+        last = Some((answer, view.clone()));
+        Ok(view.filter(is_confirmed_everywhere))
+    });
+    let Some((answer, view)) = last else {
+        return done.map(|_| ExitStatus::Unfinished);
+    };
+    context.print(&answer)?;
+    if done?.is_some() {
+        eprintln!("{} is out at each live daemon", args.domain);
+        return Ok(ExitStatus::Done);
+    }
+    eprintln!("{}", missing(&args.domain, view.as_ref()));
+    Ok(ExitStatus::Unfinished)
+}
+
+fn is_confirmed_everywhere(view: &DomainView) -> bool {
+    view.out && view.recorded && view.unconfirmed.is_empty()
+}
+
+fn missing(domain: &str, view: Option<&DomainView>) -> String {
+    match view {
+        Some(view) if view.out && view.unconfirmed.is_empty() => {
+            format!("{domain} is out at each live daemon, but not on record yet")
+        }
+        Some(view) if view.out => {
+            let names: Vec<_> = view.unconfirmed.iter().map(ToString::to_string).collect();
+            format!("{domain} is not confirmed out by {}", names.join(" "))
+        }
+        _ => format!("{domain} is not out at the daemon that answered"),
+    }
+}
+
+fn find(answer: &ClientAnswer, domain: &str) -> Result<Option<DomainView>, ClientError> {
+    match answer.read()? {
+        CallerAnswer::Domains { domains } => Ok(domains
+            .into_iter()
+            .find(|view| view.domain.as_str() == domain)),
+        _ => Err(ClientError::Malformed(
+            "no list of failure domains".to_owned(),
+        )),
+    }
+}
--- /dev/null
+++ b/src/job_command.rs
@@ -0,0 +1,187 @@
+//! Commands on jobs, keys and short requests.
+
+use std::fs;
+use std::time::Duration;
+
+use serde_with::serde_as;
+
+use crate::arguments::AnswerArgs;
+use crate::arguments::CancelArgs;
+use crate::arguments::ExplainArgs;
+use crate::arguments::RequestArgs;
+use crate::arguments::StatusArgs;
+use crate::arguments::SubmitArgs;
+use crate::arguments::WaitArgs;
+use crate::client::ClientAnswer;
+use crate::client::ClientCommand;
+use crate::client::ClientError;
+use crate::client::path_segment;
+use crate::command::CommandContext;
+use crate::command::CommandResult;
+use crate::command::poll;
+use crate::command::write_out;
+use crate::exit::ExitStatus;
+use mustardpath_core::effect::CallerAnswer;
+use mustardpath_core::effect::JobEnd;
+use mustardpath_core::effect::JobView;
+use mustardpath_core::ids::JobId;
+use mustardpath_core::units::SpanText;
+use mustardpath_core::units::TimeSpan;
+
+/// Wait of one call; longer waits are made of several.
+const CALL_WAIT: TimeSpan = TimeSpan::from_secs(10);
+
+#[serde_as]
+#[derive(serde::Serialize)]
+struct SubmitBody<'c> {
+    service: &'c str,
+    members: Option<u32>,
+    #[serde_as(as = "Option<SpanText>")]
+    run_time: Option<TimeSpan>,
+    #[serde_as(as = "Option<SpanText>")]
+    deadline: Option<TimeSpan>,
+    payload: &'c str,
+}
+
+/// Submits a job.
+///
+/// # Errors
+///
+/// Returns why it is not known to be accepted.
+pub fn submit(context: &CommandContext, args: &SubmitArgs) -> CommandResult {
+    let body = SubmitBody {
+        service: &args.service,
+        members: args.members,
+        run_time: args.run_time,
+        deadline: args.deadline,
+        payload: &args.payload,
+    };
+    let body =
+        serde_json::to_vec(&body).map_err(|error| ClientError::BadInput(error.to_string()))?;
+    let team = context.team_header()?;
+    let mut command = ClientCommand::post("/v1/jobs", &body);
+    let key = args.key.clone().unwrap_or_else(random_key);
+    command.headers = vec![team, ("Idempotency-Key", key)];
+    context.show(&command)
+}
+
+/// Returns a random key and prints it first, so that an unknown outcome can be asked for.
+fn random_key() -> String {
+    let key = format!("{:032x}", fastrand::u128(..));
+    eprintln!("key {key}");
+    key
+}
+
+/// Shows a job.
+///
+/// # Errors
+///
+/// Returns why there is no answer.
+pub fn status(context: &CommandContext, args: &StatusArgs) -> CommandResult {
+    let mut command = ClientCommand::get(job_path(args.job, ""));
+    command.headers = vec![context.team_header()?];
+    context.show(&command)
+}
+
+/// Cancels a job.
+///
+/// # Errors
+///
+/// Returns why the cancellation is not known to be accepted.
+pub fn cancel(context: &CommandContext, args: &CancelArgs) -> CommandResult {
+    let mut command = ClientCommand::post(job_path(args.job, "/cancel"), b"");
+    command.headers = vec![context.team_header()?];
+    context.show(&command)
+}
+
+/// Shows why a job waits.
+///
+/// # Errors
+///
+/// Returns why there is no answer.
+pub fn explain(context: &CommandContext, args: &ExplainArgs) -> CommandResult {
+    context.show(&ClientCommand::get(job_path(args.job, "/explain")))
+}
+
+/// Shows what became of a key.
+///
+/// # Errors
+///
+/// Returns why there is no answer.
+pub fn answer(context: &CommandContext, args: &AnswerArgs) -> CommandResult {
+    let mut command = ClientCommand::get(format!("/v1/keys/{}", path_segment(&args.key)));
+    command.headers = vec![context.team_header()?];
+    context.show(&command)
+}
+
+/// Waits until a job ends.
+///
+/// # Errors
+///
+/// Returns why there is no answer, when there was none until the end of the wait.
+pub fn wait(context: &CommandContext, args: &WaitArgs) -> CommandResult {
+    let wait = args.timeout.min(CALL_WAIT);
+    let mut command = ClientCommand::get(job_path(args.job, &format!("?wait_ms={wait}")));
+    command.headers = vec![context.team_header()?];
+    command.wait = Duration::from_millis(wait.0);
+    let mut last = None;
+    let end = poll(args.timeout, || {
+        let answer = context.client.send(&command)?;
+        let end = read_job(&answer)?.end;
+        last = Some(answer);
+        Ok(end)
+    })?;
+    if let Some(answer) = &last {
+        context.print(answer)?;
+    }
+    match end {
+        Some(JobEnd::Finished { .. }) => Ok(ExitStatus::Done),
+        Some(_) => Ok(ExitStatus::Unfinished),
+        None => {
+            eprintln!("job {} has not ended", args.job);
+            Ok(ExitStatus::Unfinished)
+        }
+    }
+}
+
+/// Sends a short request and prints the endpoint's answer.
+///
+/// # Errors
+///
+/// Returns why there is no answer of an endpoint.
+pub fn request(context: &CommandContext, args: &RequestArgs) -> CommandResult {
+    let body = match &args.body_file {
+        Some(path) => fs::read(path)
+            .map_err(|error| ClientError::BadInput(format!("{}: {error}", path.display())))?,
+        None => args.body.clone().into_bytes(),
+    };
+    let path = format!("/v1/requests/{}", path_segment(&args.service));
+    let mut command = ClientCommand::post(path, &body);
+    command.content_type = "application/octet-stream";
+    command.wait = Duration::from_millis(args.deadline.0);
+    command.headers = vec![
+        context.team_header()?,
+        ("Mustardpath-Deadline-Ms", args.deadline.to_string()),
+    ];
+    if let Some(key) = &args.key {
+        command.headers.push(("Idempotency-Key", key.clone()));
+    }
+    let answer = context.client.send(&command)?;
+    write_out(&answer.body);
+    if answer.status < 400 {
+        return Ok(ExitStatus::Done);
+    }
+    eprintln!("the endpoint answered with status {}", answer.status);
+    Ok(ExitStatus::Unfinished)
+}
+
+fn job_path(job: JobId, rest: &str) -> String {
+    format!("/v1/jobs/{job}{rest}")
+}
+
+fn read_job(answer: &ClientAnswer) -> Result<JobView, ClientError> {
+    match answer.read()? {
+        CallerAnswer::Job(view) => Ok(view),
+        _ => Err(ClientError::Malformed("no job".to_owned())),
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,7 +4,12 @@
 #![warn(clippy::all)]
 
 pub mod access;
+pub mod arguments;
 pub mod client;
+pub mod command;
+pub mod domain_command;
 pub mod exit;
+pub mod job_command;
 pub mod publish;
+pub mod table;
 pub mod tree;
--- /dev/null
+++ b/src/table.rs
@@ -0,0 +1,170 @@
+//! Answers as tables for people.
+
+use std::io::Write;
+
+use tabwriter::TabWriter;
+
+use mustardpath_core::effect::DaemonView;
+use mustardpath_core::effect::DomainView;
+use mustardpath_core::effect::JobEnd;
+use mustardpath_core::effect::JobView;
+use mustardpath_core::effect::KeyView;
+use mustardpath_core::effect::TeamView;
+use mustardpath_core::units::format_span;
+
+/// Aligns rows of cells in columns.
+#[must_use]
+pub fn align(rows: &[Vec<String>]) -> String {
+    let mut writer = TabWriter::new(Vec::new()).padding(2);
+    for row in rows {
+        // Writing to memory does not fail.
+        let _ = writeln!(writer, "{}", row.join("\t"));
+    }
+    let bytes = writer.into_inner().unwrap_or_default();
+    String::from_utf8_lossy(&bytes).into_owned()
+}
+
+fn row(cells: &[&dyn ToString]) -> Vec<String> {
+    cells.iter().map(|cell| cell.to_string()).collect()
+}
+
+fn names<T: ToString>(names: &[T]) -> String {
+    if names.is_empty() {
+        return "-".to_owned();
+    }
+    let names: Vec<_> = names.iter().map(ToString::to_string).collect();
+    names.join(" ")
+}
+
+const fn yes(value: bool) -> &'static str {
+    if value { "yes" } else { "no" }
+}
+
+/// Returns a job's table.
+#[must_use]
+pub fn job(view: &JobView) -> String {
+    let end = view.end.as_ref().map_or_else(|| "-".to_owned(), job_end);
+    align(&[
+        row(&[
+            &"JOB", &"SERVICE", &"KEY", &"PHASE", &"ATTEMPT", &"WORKERS", &"END",
+        ]),
+        row(&[
+            &view.job,
+            &view.service,
+            &view.key,
+            &view.phase,
+            &view.attempt,
+            &names(&view.workers),
+            &end,
+        ]),
+    ])
+}
+
+fn job_end(end: &JobEnd) -> String {
+    match end {
+        JobEnd::Finished { result } if result.is_empty() => "finished".to_owned(),
+        JobEnd::Finished { result } => format!("finished: {result}"),
+        JobEnd::Failed { reason } => format!("failed: {reason}"),
+        JobEnd::Cancelled => "cancelled".to_owned(),
+        JobEnd::Refused { reason } => format!("refused: {reason}"),
+        JobEnd::Unknown => "unknown: it may have run and is not repeated".to_owned(),
+    }
+}
+
+/// Returns a key's table.
+#[must_use]
+pub fn key(view: &KeyView) -> String {
+    let optional = |text: Option<String>| text.unwrap_or_else(|| "-".to_owned());
+    align(&[
+        row(&[&"KEY", &"STATE", &"JOB", &"STATUS", &"BODY"]),
+        row(&[
+            &view.key,
+            &view.state,
+            &optional(view.job.map(|job| job.to_string())),
+            &optional(view.status.map(|status| status.to_string())),
+            &optional(view.body.clone()),
+        ]),
+    ])
+}
+
+/// Returns the table of daemons.
+#[must_use]
+pub fn daemons(views: &[DaemonView]) -> String {
+    let mut rows = vec![row(&[
+        &"DAEMON",
+        &"LIVE",
+        &"VERSION",
+        &"OFFSET",
+        &"HELD OUT",
+    ])];
+    for view in views {
+        rows.push(row(&[
+            &view.daemon,
+            &yes(view.live),
+            &view.config,
+            &view.next,
+            &names(&view.held_domains),
+        ]));
+    }
+    align(&rows)
+}
+
+/// Returns the table of failure domains.
+#[must_use]
+pub fn domains(views: &[DomainView]) -> String {
+    let mut rows = vec![row(&[
+        &"DOMAIN",
+        &"STATE",
+        &"RECORDED",
+        &"VERSION",
+        &"OPERATOR",
+        &"WORKERS",
+        &"TASKS",
+        &"EMPTY IN",
+        &"NOT CONFIRMED BY",
+    ])];
+    for view in views {
+        let empty_in = view.empty_in.map_or_else(|| "-".to_owned(), format_span);
+        let operator = Some(view.operator.as_str()).filter(|name| !name.is_empty());
+        rows.push(row(&[
+            &view.domain,
+            &(if view.out { "out" } else { "in" }),
+            &yes(view.recorded),
+            &view.version,
+            &operator.unwrap_or("-"),
+            &view.workers,
+            &view.tasks,
+            &empty_in,
+            &names(&view.unconfirmed),
+        ]));
+    }
+    align(&rows)
+}
+
+/// Returns the table of teams, in accelerators.
+#[must_use]
+pub fn teams(views: &[TeamView]) -> String {
+    let mut rows = vec![row(&[
+        &"TEAM",
+        &"GUARANTEED",
+        &"USED",
+        &"BORROWED",
+        &"LENT",
+        &"RECLAIMING",
+        &"WAITING JOBS",
+        &"SUSPENDED SHAPES",
+    ])];
+    for view in views {
+        rows.push(row(&[
+            &view.team,
+            &view.guaranteed,
+            &view.used,
+            &view.borrowed,
+            &view.lent,
+            &view.reclaiming,
+            &view.waiting,
+            &view.suspended_shapes,
+        ]));
+    }
+    align(&rows)
+}
--- /dev/null
+++ b/tests/command.rs
@@ -0,0 +1,229 @@
+//! The command line against a stand-in daemon: what it sends, prints and exits with.
+
+mod common;
+
+use std::process::Output;
+
+use serde_json::Value;
+use serde_json::json;
+
+use crate::common::StandinDaemon;
+use crate::common::problem;
+use crate::common::run;
+use crate::common::stderr;
+use crate::common::stdout;
+
+fn command(daemon: &StandinDaemon, arguments: &[&str]) -> Output {
+    let address = daemon.address.to_string();
+    let mut all = vec!["--daemon", &address, "--team", "quay"];
+    all.extend(arguments);
+    run(env!("CARGO_BIN_EXE_mustardpath"), &all)
+}
+
+fn job(phase: &str, end: &Value) -> (u16, String) {
+    let view = json!({
+        "answer": "job", "job": 4711, "service": "berth-plan", "key": "plan-17", "phase": phase,
+        "attempt": 1, "workers": ["w1", "w2"], "end": end, "duplicate": false,
+    });
+    (200, view.to_string())
+}
+
+fn domains(out: bool, unconfirmed: &[&str]) -> (u16, String) {
+    let view = json!({
+        "domain": "sg-a", "out": out, "recorded": out, "version": 3, "operator": "linh",
+        "workers": 12, "tasks": 40, "unconfirmed": unconfirmed, "empty_in": 61_000,
+    });
+    (
+        200,
+        json!({ "answer": "domains", "domains": [view] }).to_string(),
+    )
+}
+
+/// Guards against a submission without the key that makes it safe to repeat.
+#[test]
+fn submit_sends_the_job_with_its_key() {
+    let daemon = StandinDaemon::start(vec![("POST /v1/jobs", vec![job("queued", &Value::Null)])]);
+    let arguments = [
+        "submit",
+        "berth-plan",
+        "--key",
+        "plan-17",
+        "--run-time",
+        "90 min",
+    ];
+    let output = command(&daemon, &arguments);
+    assert_eq!(output.status.code(), Some(0), "{}", stderr(&output));
+    let expected = "JOB   SERVICE     KEY      PHASE   ATTEMPT  WORKERS  END\n\
+                    4711  berth-plan  plan-17  queued  1        w1 w2    -\n";
+    assert_eq!(stdout(&output), expected);
+    let sent = &daemon.seen("POST /v1/jobs")[0];
+    assert_eq!(
+        sent.header("authorization"),
+        Some("Bearer operator-test-key")
+    );
+    assert_eq!(sent.header("mustardpath-team"), Some("quay"));
+    assert_eq!(sent.header("idempotency-key"), Some("plan-17"));
+    let expected = json!({
+        "service": "berth-plan", "members": null, "run_time": "90 min", "deadline": null,
+        "payload": "",
+    });
+    assert_eq!(sent.json(), expected);
+
+    let output = command(&daemon, &["submit", "berth-plan"]);
+    let sent = &daemon.seen("POST /v1/jobs")[1];
+    let key = sent.header("idempotency-key").expect("a key is sent");
+    assert_eq!(stderr(&output), format!("key {key}\n"));
+}
+
+/// Guards against a script that goes on although the job did not finish.
+#[test]
+fn wait_ends_with_the_job() {
+    let finished = json!({ "end": "finished", "result": "ok" });
+    let failed = json!({ "end": "failed", "reason": "no tide" });
+    let draining = (503, problem("daemon not ready", 503, "not_run", "draining"));
+    let cases = [
+        (
+            vec![
+                draining,
+                job("placed", &Value::Null),
+                job("ended", &finished),
+            ],
+            0,
+            3,
+        ),
+        (vec![job("ended", &failed)], 6, 1),
+        (
+            vec![(404, problem("not found", 404, "not_run", "no job 4711"))],
+            3,
+            1,
+        ),
+    ];
+    for (answers, code, calls) in cases {
+        let daemon = StandinDaemon::start(vec![("GET /v1/jobs/4711?wait_ms=", answers)]);
+        let output = command(&daemon, &["wait", "4711", "--timeout", "1 h"]);
+        assert_eq!(output.status.code(), Some(code), "{}", stderr(&output));
+        assert_eq!(daemon.seen("").len(), calls);
+    }
+    let daemon = StandinDaemon::start(vec![("GET", vec![job("queued", &Value::Null)])]);
+    let output = command(&daemon, &["wait", "4711", "--timeout", "0 s"]);
+    assert_eq!(output.status.code(), Some(6));
+    assert_eq!(stderr(&output), "job 4711 has not ended\n");
+}
+
+/// Guards against a failure domain that goes out without consent, and against "done" while a
+/// daemon still starts work there.
+#[test]
+fn domain_out_asks_and_waits_for_each_daemon() {
+    let later = vec![
+        domains(false, &[]),
+        domains(true, &["d2"]),
+        domains(true, &[]),
+    ];
+    let daemon = StandinDaemon::start(vec![
+        ("GET /v1/domains", later),
+        ("POST /v1/domains", vec![domains(true, &["d2"])]),
+    ]);
+    let output = command(&daemon, &["domain", "out", "sg-a", "--operator", "linh"]);
+    assert_eq!(output.status.code(), Some(7), "{}", stderr(&output));
+    assert!(daemon.seen("POST").is_empty());
+
+    let arguments = ["domain", "out", "sg-a", "--operator", "linh", "--yes"];
+    let output = command(&daemon, &arguments);
+    assert_eq!(output.status.code(), Some(0), "{}", stderr(&output));
+    assert_eq!(stderr(&output), "sg-a is out at each live daemon\n");
+    let expected = json!({
+        "domain": "sg-a", "out": true, "operator": "linh", "confirmed": true,
+    });
+    assert_eq!(daemon.seen("POST")[0].json(), expected);
+
+    let daemon = StandinDaemon::start(vec![("", vec![domains(true, &["d2", "d5"])])]);
+    let arguments = [&arguments[..], &["--timeout", "0 s"]].concat();
+    let output = command(&daemon, &arguments);
+    assert_eq!(output.status.code(), Some(6));
+    assert_eq!(stderr(&output), "sg-a is not confirmed out by d2 d5\n");
+    let row = "sg-a    out    yes       3        linh      12       40     61 s      d2 d5";
+    assert!(stdout(&output).contains(row), "{}", stdout(&output));
+}
+
+/// Guards against a refusal of the daemon that looks like an answer of the endpoint, and against
+/// exit codes that hide whether the work has run.
+#[test]
+fn request_tells_answers_and_failures_apart() {
+    let cases = [
+        (200, "bytes \u{0}".to_owned(), 0, "bytes \u{0}"),
+        (404, "no such seal".to_owned(), 6, "no such seal"),
+        (429, problem("limit reached", 429, "not_run", "quay"), 3, ""),
+        (
+            504,
+            problem("outcome unknown", 504, "may_have_run", "ask"),
+            5,
+            "",
+        ),
+    ];
+    for (status, body, code, printed) in cases {
+        let daemon = StandinDaemon::start(vec![("POST /v1/requests/", vec![(status, body)])]);
+        let arguments = [
+            "request",
+            "seal-check",
+            "--body",
+            "seal 7",
+            "--deadline",
+            "2 s",
+        ];
+        let output = command(&daemon, &arguments);
+        assert_eq!(output.status.code(), Some(code), "{}", stderr(&output));
+        assert_eq!(stdout(&output), printed);
+        let sent = &daemon.seen("POST")[0];
+        assert_eq!(sent.route, "POST /v1/requests/seal%2Dcheck");
+        assert_eq!(sent.body, b"seal 7");
+        assert_eq!(sent.header("mustardpath-deadline-ms"), Some("2000"));
+        assert_eq!(sent.header("idempotency-key"), None);
+    }
+}
+
+/// Guards against a version that counts as in force while a live daemon lacks it.
+#[test]
+fn config_status_waits_for_live_daemons() {
+    let view = |daemon: &str, live: bool, version: u64| {
+        json!({
+            "daemon": daemon, "live": live, "config": version, "next": 90, "held_domains": [],
+        })
+    };
+    let answer = |version| {
+        let daemons = [
+            view("d1", true, 8),
+            view("d2", true, version),
+            view("d3", false, 2),
+        ];
+        (
+            200,
+            json!({ "answer": "daemons", "daemons": daemons }).to_string(),
+        )
+    };
+    let daemon = StandinDaemon::start(vec![("GET", vec![answer(7), answer(8)])]);
+    let output = command(&daemon, &["config", "status", "--version", "8"]);
+    assert_eq!(output.status.code(), Some(0), "{}", stderr(&output));
+    assert_eq!(daemon.seen("GET /v1/config/status").len(), 2);
+    let arguments = ["config", "status", "--version", "9", "--timeout", "0 s"];
+    let output = command(&daemon, &arguments);
+    assert_eq!(output.status.code(), Some(6));
+    let output = command(&daemon, &["--json", "config", "status"]);
+    assert_eq!(stdout(&output), format!("{}\n", answer(8).1));
+}
+
+/// Guards against help without the exit codes that scripts rely on.
+#[test]
+fn help_lists_examples_and_exit_codes() {
+    let tools = [
+        env!("CARGO_BIN_EXE_mustardpath"),
+        env!("CARGO_BIN_EXE_mustardpath-publish"),
+    ];
+    for tool in tools {
+        let output = run(tool, &["--help"]);
+        assert_eq!(output.status.code(), Some(0));
+        let text = stdout(&output);
+        assert!(text.contains("Examples:"), "{text}");
+        assert!(text.contains("5 the "), "{text}");
+        assert_eq!(run(tool, &["no-such-command"]).status.code(), Some(1));
+    }
+}
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -114,7 +114,13 @@
         headers,
         body,
     });
-    Response::from_data("application/json", text).with_status_code(status)
+    let is_problem = text.starts_with('{') && status >= 400;
+    let media = if is_problem {
+        "application/problem+json"
+    } else {
+        "application/json"
+    };
+    Response::from_data(media, text).with_status_code(status)
 }
 
 /// Returns an error answer in the problem-details format.
