--- /dev/null
+++ b/core/tests/ledger.rs
@@ -0,0 +1,384 @@
+//! Rules of the ledger, record by record.
+
+use mustardpath_core::config::ServiceSpec;
+use mustardpath_core::ids::ConfigVersion;
+use mustardpath_core::ids::DaemonName;
+use mustardpath_core::ids::JobId;
+use mustardpath_core::ids::LogOffset;
+use mustardpath_core::ids::TermNumber;
+use mustardpath_core::ids::WriterId;
+use mustardpath_core::ledger::JobPhase;
+use mustardpath_core::ledger::LedgerState;
+use mustardpath_core::ledger::RETENTION;
+use mustardpath_core::ledger::RecordEffect;
+use mustardpath_core::ledger::VoidReason;
+use mustardpath_core::record;
+use mustardpath_core::record::AttemptEnd;
+use mustardpath_core::record::JobOrder;
+use mustardpath_core::record::LogRecord;
+use mustardpath_core::record::RECORD_VERSION;
+use mustardpath_core::record::RecordBody;
+use mustardpath_core::record::RequestEnd;
+use mustardpath_core::snapshot;
+use mustardpath_core::units::ClockTime;
+use mustardpath_core::units::TimeSpan;
+
+/// Writers that append to one ledger in turn.
+struct LedgerBench {
+    ledger: LedgerState,
+    sequence: u64,
+    at: ClockTime,
+}
+
+impl LedgerBench {
+    fn new() -> Self {
+        Self {
+            ledger: LedgerState::default(),
+            sequence: 0,
+            at: ClockTime(1_000),
+        }
+    }
+
+    fn record(&mut self, daemon: &str, body: RecordBody) -> LogRecord {
+        self.sequence += 1;
+        LogRecord {
+            version: RECORD_VERSION,
+            writer: writer(daemon),
+            sequence: self.sequence,
+            at: self.at,
+            body,
+        }
+    }
+
+    fn append(&mut self, daemon: &str, body: RecordBody) -> RecordEffect {
+        let record = self.record(daemon, body);
+        self.ledger.apply(self.ledger.next, Some(&record))
+    }
+
+    fn claim(&mut self, daemon: &str, term: u64) -> RecordEffect {
+        let body = RecordBody::TermClaimed {
+            term: TermNumber(term),
+            daemon: daemon.into(),
+        };
+        self.append(daemon, body)
+    }
+
+    fn accept(&mut self, key: &str, repeatable: bool) -> JobId {
+        let job = JobId(self.ledger.next.0);
+        let body = RecordBody::JobAccepted {
+            order: order(key, repeatable),
+        };
+        assert_eq!(self.append("d1", body), RecordEffect::Applied);
+        job
+    }
+
+    fn place(&mut self, daemon: &str, term: u64, job: JobId, attempt: u32) -> RecordEffect {
+        let term = TermNumber(term);
+        let workers = vec!["w1".into(), "w2".into()];
+        self.append(
+            daemon,
+            RecordBody::JobPlaced {
+                term,
+                job,
+                attempt,
+                workers,
+            },
+        )
+    }
+
+    fn end(&mut self, job: JobId, attempt: u32, end: AttemptEnd) -> RecordEffect {
+        let term = self.ledger.term.number;
+        let checkpoint = TimeSpan(7);
+        self.append(
+            "d1",
+            RecordBody::AttemptEnded {
+                term,
+                job,
+                attempt,
+                end,
+                checkpoint,
+            },
+        )
+    }
+
+    fn phase(&self, job: JobId) -> &JobPhase {
+        &self.ledger.jobs[&job].phase
+    }
+}
+
+fn writer(daemon: &str) -> WriterId {
+    WriterId {
+        daemon: DaemonName::from(daemon),
+        incarnation: 1,
+    }
+}
+
+fn spec(repeatable: bool) -> ServiceSpec {
+    let text =
+        format!(r#"{{"work":"job","run_time":"1 h","members":2,"repeatable":{repeatable}}}"#);
+    serde_json::from_str(&text).expect("a valid service")
+}
+
+fn order(key: &str, repeatable: bool) -> JobOrder {
+    JobOrder {
+        team: "bench".into(),
+        service: "recert".into(),
+        key: key.into(),
+        spec: spec(repeatable),
+        payload: String::new(),
+    }
+}
+
+fn is_stale(effect: &RecordEffect) -> bool {
+    *effect == RecordEffect::Void(VoidReason::StaleTerm)
+}
+
+/// Guards against a second copy of an append taking effect after its answer was lost.
+#[test]
+fn repeated_sequence_is_void() {
+    let mut bench = LedgerBench::new();
+    let body = RecordBody::JobAccepted {
+        order: order("k", true),
+    };
+    let record = bench.record("d1", body);
+    assert_eq!(
+        bench.ledger.apply(LogOffset(0), Some(&record)),
+        RecordEffect::Applied
+    );
+    assert_eq!(
+        bench.ledger.apply(LogOffset(1), Some(&record)),
+        RecordEffect::Repeated
+    );
+    assert_eq!(bench.ledger.jobs.len(), 1);
+}
+
+/// Guards against two planners: of two claims of one term the first in the log wins.
+#[test]
+fn second_claim_of_a_term_is_void() {
+    let mut bench = LedgerBench::new();
+    assert_eq!(bench.claim("d1", 1), RecordEffect::Applied);
+    assert!(is_stale(&bench.claim("d2", 1)));
+    assert_eq!(bench.ledger.term.holder, Some(writer("d1")));
+}
+
+/// Guards against a paused planner whose placement reaches the log after its successor's claim.
+#[test]
+fn records_of_an_older_term_are_void() {
+    let mut bench = LedgerBench::new();
+    let job = bench.accept("k", true);
+    bench.claim("d1", 1);
+    bench.claim("d2", 2);
+    assert!(is_stale(&bench.place("d1", 1, job, 1)));
+    assert!(is_stale(&bench.place("d1", 2, job, 1)));
+    assert_eq!(*bench.phase(job), JobPhase::Queued);
+    assert_eq!(bench.place("d2", 2, job, 1), RecordEffect::Applied);
+}
+
+/// Guards against one attempt number standing for two placements.
+#[test]
+fn attempts_rise() {
+    let mut bench = LedgerBench::new();
+    let job = bench.accept("k", true);
+    bench.claim("d1", 1);
+    assert_eq!(bench.place("d1", 1, job, 3), RecordEffect::Applied);
+    bench.end(job, 3, AttemptEnd::Preempted);
+    let wrong = RecordEffect::Void(VoidReason::WrongPhase);
+    assert_eq!(bench.place("d1", 1, job, 3), wrong);
+    assert_eq!(bench.place("d1", 1, job, 4), RecordEffect::Applied);
+    assert_eq!(bench.end(job, 3, AttemptEnd::Preempted), wrong);
+}
+
+/// Guards against a second run of a job that may not be repeated.
+#[test]
+fn lost_attempt_of_a_job_that_may_not_be_repeated_ends_unknown() {
+    for end in [
+        AttemptEnd::Lost {
+            worker: "w1".into(),
+        },
+        AttemptEnd::Unknown,
+    ] {
+        let mut bench = LedgerBench::new();
+        let job = bench.accept("k", false);
+        bench.claim("d1", 1);
+        bench.place("d1", 1, job, 1);
+        bench.end(job, 1, end);
+        assert!(matches!(bench.phase(job), JobPhase::Ended { .. }));
+    }
+}
+
+/// Guards against losing a job: an attempt that was lost or never started goes back in the queue.
+#[test]
+fn lost_attempt_of_a_repeatable_job_is_queued_with_its_checkpoint() {
+    let mut bench = LedgerBench::new();
+    let job = bench.accept("k", true);
+    bench.claim("d1", 1);
+    bench.place("d1", 1, job, 1);
+    bench.end(
+        job,
+        1,
+        AttemptEnd::Lost {
+            worker: "w1".into(),
+        },
+    );
+    assert_eq!(*bench.phase(job), JobPhase::Queued);
+    assert_eq!(bench.ledger.jobs[&job].checkpoint, TimeSpan(7));
+    assert_eq!(bench.ledger.queued().collect::<Vec<_>>(), [job]);
+    assert_eq!(bench.ledger.tasks_on(&"w1".into()).count(), 0);
+}
+
+/// Guards against a job that fails everywhere running for ever.
+#[test]
+fn third_failure_ends_a_repeatable_job() {
+    let mut bench = LedgerBench::new();
+    let job = bench.accept("k", true);
+    bench.claim("d1", 1);
+    for attempt in 1..=3 {
+        assert_eq!(bench.place("d1", 1, job, attempt), RecordEffect::Applied);
+        let end = AttemptEnd::Failed {
+            worker: "w1".into(),
+            reason: "no memory".into(),
+        };
+        bench.end(job, attempt, end);
+    }
+    assert!(matches!(bench.phase(job), JobPhase::Ended { .. }));
+}
+
+/// Guards against a second job or run for one idempotency key.
+#[test]
+fn key_belongs_to_the_first_record() {
+    let mut bench = LedgerBench::new();
+    bench.accept("k", true);
+    let taken = RecordEffect::Void(VoidReason::KeyTaken);
+    let again = RecordBody::JobAccepted {
+        order: order("k", true),
+    };
+    assert_eq!(bench.append("d2", again), taken);
+    assert_eq!(bench.append("d2", intent("k")), taken);
+    assert_eq!(bench.append("d1", intent("r")), RecordEffect::Applied);
+    assert_eq!(bench.append("d2", intent("r")), taken);
+}
+
+fn intent(key: &str) -> RecordBody {
+    RecordBody::RequestIntent {
+        team: "bench".into(),
+        key: key.into(),
+        service: "booking".into(),
+        digest: 5,
+    }
+}
+
+/// Guards against a key that stays blocked although its request never ran, and against one that
+/// opens again although it may have run.
+#[test]
+fn key_is_free_again_only_after_not_run() {
+    for (end, free) in [(RequestEnd::NotRun, true), (RequestEnd::Unknown, false)] {
+        let mut bench = LedgerBench::new();
+        bench.append("d1", intent("r"));
+        let done = RecordBody::RequestDone {
+            team: "bench".into(),
+            key: "r".into(),
+            end,
+        };
+        assert_eq!(bench.append("d1", done), RecordEffect::Applied);
+        assert_eq!(
+            bench.append("d2", intent("r")) == RecordEffect::Applied,
+            free
+        );
+    }
+}
+
+/// Guards against a configuration that goes back: of two changes against one version the second
+/// is void and names the winner.
+#[test]
+fn second_change_of_one_version_loses() {
+    let mut bench = LedgerBench::new();
+    let change = |operator: &str| RecordBody::ConfigChanged {
+        base: ConfigVersion(0),
+        upsert: Vec::new(),
+        remove: Vec::new(),
+        operator: operator.into(),
+    };
+    assert_eq!(bench.append("d1", change("ana")), RecordEffect::Applied);
+    let lost = VoidReason::LostRace {
+        winner: "ana".into(),
+        version: 1,
+    };
+    assert_eq!(bench.append("d2", change("bao")), RecordEffect::Void(lost));
+    assert_eq!(bench.ledger.config.version, ConfigVersion(1));
+}
+
+/// Guards against a daemon that stops at a record of a newer version, or loses its place.
+#[test]
+fn unknown_kinds_and_fields_are_skipped() {
+    let mut bench = LedgerBench::new();
+    let text = r#"{"version":9,"writer":{"daemon":"d9","incarnation":1},"sequence":1,"at":5,
+        "body":{"kind":"from_the_future","field":1},"more":true}"#;
+    let record = record::decode(text.as_bytes()).expect("a readable record");
+    assert_eq!(
+        bench.ledger.apply(LogOffset(0), Some(&record)),
+        RecordEffect::Skipped
+    );
+    assert_eq!(
+        bench.ledger.apply(LogOffset(1), None),
+        RecordEffect::Skipped
+    );
+    assert_eq!(bench.ledger.next, LogOffset(2));
+}
+
+/// Guards against a ledger that grows for ever, and against forgetting a job that still runs.
+#[test]
+fn only_ended_jobs_are_forgotten() {
+    let mut bench = LedgerBench::new();
+    let ended = bench.accept("a", true);
+    let open = bench.accept("b", true);
+    bench.append("d1", RecordBody::JobCancelled { job: ended });
+    bench.at = bench.at + RETENTION + TimeSpan(1);
+    bench.claim("d1", 1);
+    assert!(!bench.ledger.jobs.contains_key(&ended));
+    assert!(bench.ledger.jobs.contains_key(&open));
+    assert!(bench.ledger.key(&"bench".into(), &"a".into()).is_none());
+    assert!(bench.ledger.key(&"bench".into(), &"b".into()).is_some());
+}
+
+fn filled_ledger() -> LedgerState {
+    let mut bench = LedgerBench::new();
+    bench.claim("d1", 1);
+    for number in 0..50 {
+        let job = bench.accept(&format!("käse-{number}"), true);
+        if number % 2 == 0 {
+            bench.place("d1", 1, job, 1);
+        }
+    }
+    bench.ledger
+}
+
+/// Guards against a rebuilt ledger that differs from the one that was written.
+#[test]
+fn snapshot_restores_the_ledger() {
+    let ledger = filled_ledger();
+    let pieces = snapshot::encode(&ledger, &writer("d1"), 500);
+    assert!(pieces.len() > 3);
+    let decoded = pieces
+        .iter()
+        .rev()
+        .filter_map(|piece| snapshot::decode_piece(piece));
+    assert_eq!(snapshot::assemble(decoded), Some(ledger));
+}
+
+/// Guards against a torn, missing or doubled piece: an older whole snapshot is used.
+#[test]
+fn damaged_snapshot_falls_back_to_an_older_one() {
+    let old = filled_ledger();
+    let mut new = old.clone();
+    new.next = LogOffset(old.next.0 + 10);
+    let mut pieces = snapshot::encode(&old, &writer("d1"), 500);
+    pieces.push(pieces[0].clone());
+    let mut damaged = snapshot::encode(&new, &writer("d2"), 500);
+    let middle = damaged[1].len() / 2;
+    damaged[1].truncate(middle);
+    pieces.extend(damaged);
+    let decoded = pieces
+        .iter()
+        .filter_map(|piece| snapshot::decode_piece(piece));
+    assert_eq!(snapshot::assemble(decoded), Some(old));
+}
