--- a/core/src/ledger.rs
+++ b/core/src/ledger.rs
@@ -269,9 +269,7 @@
         match &record.phase {
             JobPhase::Queued => {
                 self.queued.remove(&job);
-                if let Some(count) = self.waiting_by_team.get_mut(&record.order.team) {
-                    *count = count.saturating_sub(1);
-                }
+                self.remove_waiting(&record.order.team);
             }
             JobPhase::Placed { workers, .. } => {
                 self.placed.remove(&job);
@@ -281,6 +279,16 @@
         }
     }
 
+    fn remove_waiting(&mut self, team: &TeamName) {
+        let Some(count) = self.waiting_by_team.get_mut(team) else {
+            return;
+        };
+        *count -= 1;
+        if *count == 0 {
+            self.waiting_by_team.remove(team);
+        }
+    }
+
     fn remove_tasks(&mut self, job: JobId, record: &JobRecord, workers: &[WorkerName]) {
         for (member, worker) in (0..).zip(workers) {
             let task = TaskId {
--- a/core/tests/ledger.rs
+++ b/core/tests/ledger.rs
@@ -345,8 +345,15 @@
     bench.claim("d1", 1);
     for number in 0..50 {
         let job = bench.accept(&format!("käse-{number}"), true);
+        bench.place("d1", 1, job, 1);
         if number % 2 == 0 {
-            bench.place("d1", 1, job, 1);
+            bench.end(
+                job,
+                1,
+                AttemptEnd::Finished {
+                    result: "ok".into(),
+                },
+            );
         }
     }
     bench.ledger
