Add the in-memory driver of daemons and models

Cause: fault tests have to stop, cut and delay any part of a deployment at an exact event, and give the same run each time. Ruled out: processes over loopback for this purpose, because their order of events differs from run to run. Effects stay pending until the next step, so a process can be ended before or after it acts. Behaviour of the daemon does not change. Conclusion: fault scenarios can be written as plain tests.

--- /dev/null
+++ b/standin/src/delivery.rs
@@ -0,0 +1,271 @@
+//! Deliveries of the in-memory driver: effects go out to the models, answers come back as events.
+
+use crate::driver::SimDriver;
+use mustardpath_core::effect::ControlEffect;
+use mustardpath_core::effect::PeerMessage;
+use mustardpath_core::event::EventInput;
+use mustardpath_core::event::VmOutcome;
+use mustardpath_core::ids::BatchId;
+use mustardpath_core::ids::CallId;
+use mustardpath_core::ids::CallerId;
+use mustardpath_core::ids::DaemonName;
+use mustardpath_core::ids::LogOffset;
+use mustardpath_core::ids::RegionName;
+use mustardpath_core::ids::RequestId;
+use mustardpath_core::ids::WorkerName;
+use mustardpath_core::ledger::LedgerState;
+use mustardpath_core::units::ClockTime;
+use mustardpath_core::units::TimeSpan;
+use mustardpath_core::worker::WorkerCommand;
+
+/// The process that waits for an answer.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Origin {
+    pub(crate) daemon: usize,
+    pub(crate) incarnation: u64,
+    pub(crate) sent: ClockTime,
+}
+
+/// A read that waits at the log for a record.
+#[derive(Clone, Debug)]
+pub(crate) struct LogReader {
+    pub(crate) origin: Origin,
+    pub(crate) from: LogOffset,
+    pub(crate) until: ClockTime,
+}
+
+/// A short request on its way to an endpoint.
+#[derive(Clone, Debug)]
+pub(crate) struct RequestCall {
+    pub(crate) caller: CallerId,
+    pub(crate) request: RequestId,
+    pub(crate) attempt: u32,
+    pub(crate) worker: WorkerName,
+    pub(crate) timeout: TimeSpan,
+}
+
+/// Something that happens at a time.
+#[derive(Clone, Debug)]
+pub(crate) enum Delivery {
+    Tick {
+        daemon: usize,
+        incarnation: u64,
+    },
+    Event {
+        daemon: usize,
+        incarnation: u64,
+        input: Box<EventInput>,
+    },
+    Command {
+        origin: Origin,
+        call: CallId,
+        worker: WorkerName,
+        command: WorkerCommand,
+        timeout: TimeSpan,
+    },
+    Request(Origin, RequestCall),
+    Cancel {
+        worker: WorkerName,
+        id: String,
+        attempt: u32,
+    },
+    Append {
+        origin: Origin,
+        batch: BatchId,
+        records: Vec<Vec<u8>>,
+    },
+    Read(LogReader),
+    ReadEnd,
+    ReadSnapshot(Origin),
+    WriteSnapshot(Origin, Box<LedgerState>),
+    Wake(WorkerName),
+}
+
+impl SimDriver {
+    fn origin(&self, daemon: usize) -> Origin {
+        Origin {
+            daemon,
+            incarnation: self.processes[daemon].incarnation,
+            sent: self.now(),
+        }
+    }
+
+    pub(crate) fn region(&self, daemon: usize) -> RegionName {
+        self.processes[daemon].settings.region.clone()
+    }
+
+    /// Schedules the answer to `origin`.
+    pub(crate) fn answer(&mut self, origin: Origin, delay: TimeSpan, input: EventInput) {
+        self.post_to(origin.daemon, origin.incarnation, delay, input);
+    }
+
+    /// Schedules the answer to `origin` at the end of its patience.
+    pub(crate) fn answer_at(&mut self, origin: Origin, timeout: TimeSpan, input: EventInput) {
+        let delay = (origin.sent + timeout).since(self.now());
+        self.answer(origin, delay, input);
+    }
+
+    /// Uses up the silence of a connection. The next use of the link opens a new connection.
+    pub(crate) fn take_silence(&mut self, daemon: usize, target: &str) -> bool {
+        let link = (daemon, target.to_owned());
+        self.silent_links.shift_remove(&link)
+    }
+
+    /// Carries out one effect of a daemon.
+    pub(crate) fn carry_out_effect(&mut self, daemon: usize, effect: ControlEffect) {
+        let origin = self.origin(daemon);
+        match effect {
+            ControlEffect::Append { batch, records } => self.send_append(origin, batch, &records),
+            ControlEffect::ReadLog { from, wait } => self.send_read(origin, from, wait),
+            ControlEffect::ReadSnapshot => {
+                let delay = self.log_delay(daemon);
+                self.schedule(delay, Delivery::ReadSnapshot(origin));
+            }
+            ControlEffect::WriteSnapshot { ledger } => {
+                let delay = self.log_delay(daemon);
+                self.schedule(delay, Delivery::WriteSnapshot(origin, ledger));
+            }
+            ControlEffect::CallWorker {
+                call,
+                worker,
+                command,
+                timeout,
+                ..
+            } => self.send_command(origin, call, worker, command, timeout),
+            ControlEffect::SendRequest {
+                caller,
+                request,
+                attempt,
+                worker,
+                timeout,
+                ..
+            } => {
+                let call = RequestCall {
+                    caller,
+                    request,
+                    attempt,
+                    worker,
+                    timeout,
+                };
+                self.send_request(origin, call);
+            }
+            ControlEffect::CancelRequest {
+                request,
+                attempt,
+                address,
+            } => self.send_cancel(origin, request, attempt, &address),
+            ControlEffect::SendPeer { to, message, .. } => self.send_peer(daemon, &to, message),
+            ControlEffect::FetchVms { since } => self.fetch_vms(origin, since),
+            ControlEffect::Reply { caller, reply } => self.take_reply(daemon, caller, reply),
+            ControlEffect::Note { part, line, .. } => {
+                self.note(|| format!("{daemon} {} {line}", part.prefix()));
+            }
+            ControlEffect::Count { .. } => {}
+            ControlEffect::Exit => self.kill(daemon),
+        }
+    }
+
+    /// Carries out one delivery.
+    pub(crate) fn deliver(&mut self, delivery: Delivery) {
+        match delivery {
+            Delivery::Tick {
+                daemon,
+                incarnation,
+            } => self.deliver_tick(daemon, incarnation),
+            Delivery::Event {
+                daemon,
+                incarnation,
+                input,
+            } => self.apply(daemon, incarnation, *input),
+            Delivery::Command {
+                origin,
+                call,
+                worker,
+                command,
+                timeout,
+            } => self.deliver_command(origin, call, &worker, command, timeout),
+            Delivery::Request(origin, call) => self.deliver_request(origin, &call),
+            Delivery::Cancel {
+                worker,
+                id,
+                attempt,
+            } => self.workers[&worker].cancel_request(&id, attempt),
+            Delivery::Append {
+                origin,
+                batch,
+                records,
+            } => self.deliver_append(origin, batch, &records),
+            Delivery::Read(reader) => self.deliver_read(reader),
+            Delivery::ReadEnd => self.wake_readers(),
+            Delivery::ReadSnapshot(origin) => self.deliver_snapshot_read(origin),
+            Delivery::WriteSnapshot(origin, ledger) => {
+                self.deliver_snapshot_write(origin, &ledger);
+            }
+            Delivery::Wake(worker) => {
+                self.wakes.shift_remove(&worker);
+                self.touch_worker(&worker);
+            }
+        }
+    }
+
+    fn deliver_tick(&mut self, daemon: usize, incarnation: u64) {
+        if self.processes[daemon].incarnation != incarnation || !self.is_up(daemon) {
+            return;
+        }
+        let next = Delivery::Tick {
+            daemon,
+            incarnation,
+        };
+        self.schedule(self.tick, next);
+        self.apply(daemon, incarnation, EventInput::Tick);
+    }
+
+    fn send_peer(&mut self, daemon: usize, to: &DaemonName, message: PeerMessage) {
+        if let PeerMessage::Heartbeat(heartbeat) = &message {
+            let process = &mut self.processes[daemon];
+            if heartbeat.config < process.config {
+                let line = format!("daemon {daemon}: configuration went back");
+                self.problems.push(line);
+            }
+            process.config = heartbeat.config;
+        }
+        let Some(target) = self.daemon_by_name(to) else {
+            return;
+        };
+        let silent_until = |process| self.peers_silent_until.get(&process).copied();
+        let silent = [daemon, target].into_iter().filter_map(silent_until);
+        if silent.max() > Some(self.now()) {
+            return;
+        }
+        let (own, region) = (self.region(daemon), self.region(target));
+        if !self.reaches(&own, &region) || self.rng.u8(0..100) < self.network.peer_loss {
+            return;
+        }
+        let copies = if self.rng.u8(0..100) < self.network.peer_double {
+            2
+        } else {
+            1
+        };
+        let from = self.processes[daemon].settings.daemon.clone();
+        for _ in 0..copies {
+            let delay = self.delay(&own, &region);
+            let input = EventInput::Peer {
+                from: from.clone(),
+                message: message.clone(),
+            };
+            self.post(target, delay, input);
+        }
+    }
+
+    fn fetch_vms(&mut self, origin: Origin, since: u64) {
+        let outcome = match self.vms.changes(since, self.now()) {
+            None => VmOutcome::Failed,
+            Some(changes) => VmOutcome::Changes {
+                version: changes.version,
+                workers: changes.workers,
+                daemons: changes.daemons,
+            },
+        };
+        self.answer(origin, TimeSpan(4), EventInput::VmList { outcome });
+    }
+}
