--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -10,14 +10,14 @@
 mod utils;
 
 pub mod checker;
+mod delivery;
 pub mod driver;
 pub mod endpoint;
 pub mod fact;
 pub mod faults;
 pub mod log;
+mod log_link;
 pub mod task;
 pub mod vms;
 pub mod worker;
-mod delivery;
-mod log_link;
 mod worker_link;
