Refuse a zero wait before a failed read is tried again

Cause: log_retry was among the fields whose zero switches something off, but zero means reads without a pause while the log is down.

Ruled out: nothing else; the other five fields stay, because zero moves, slots, retries, claim steps or balancer delay are meaningful.

Change: log_retry must not be zero.

Conclusion: no accepted settings make a thread read without a pause.

--- a/core/src/settings.rs
+++ b/core/src/settings.rs
@@ -252,10 +252,9 @@
 }
 
 /// Fields whose value zero switches something off. Zero is a mistake in all others.
-const ZERO_ALLOWED: [&str; 6] = [
+const ZERO_ALLOWED: [&str; 5] = [
     "balancer_delay",
     "claim_step",
-    "log_retry",
     "moves_per_hour",
     "request_slots",
     "retry_percent",
--- a/core/tests/settings.rs
+++ b/core/tests/settings.rs
@@ -62,6 +62,7 @@
         ("\"lease\": \"60 s\"", "\"lease_renewal\": \"45 s\"", "d.json:11:15: timing.lease_renewal: 45 s is not below lease (45 s): leases would end between renewals".to_owned()),
         ("\"lease\": \"60 s\"", "\"term_renewal\": \"7 s\"", "d.json:11:15: timing.term_renewal: 7 s is not below term (6 s): the term would end between renewals".to_owned()),
         ("\"lease\": \"60 s\"", "\"freshness\": \"0 s\"", "d.json:11:15: timing.freshness: must not be zero".to_owned()),
+        ("\"lease\": \"60 s\"", "\"log_retry\": \"0 ms\"", "d.json:11:15: timing.log_retry: must not be zero".to_owned()),
         ("\"body\": \"2 MiB\"", "\"open_requests\": 0", "d.json:12:15: limits.open_requests: must not be zero".to_owned()),
         ("\"body\": \"2 MiB\"", "\"kept_answer\": \"0 KiB\"", "d.json:12:15: limits.kept_answer: must not be zero".to_owned()),
         ("\"body\": \"2 MiB\"", "\"gang_members\": 65", "d.json:12:15: limits.gang_members: 65 is above 64".to_owned()),
