Add examples of team files and settings

Cause: the first thing that a team or an operator needs is a file to copy with each field explained.

Ruled out: explaining the fields in each file, which would drift; one team file explains all of them and the others refer to it.

Change: four team files for each of the two deployments beside their service folders, and examples/mustardpathd.json. The keys are the texts TEAM-example-key; the files hold their digests.

Conclusion: tests keep the examples valid and complete.

--- /dev/null
+++ b/tests/examples.rs
@@ -0,0 +1,108 @@
+//! The files under `examples`: they are read by people first, so they have to stay true.
+
+use std::fs;
+use std::path::PathBuf;
+
+use serde_json::Value;
+
+use mustardpath::tree;
+use mustardpath_core::collection::CheckBounds;
+use mustardpath_core::collection::SourceFile;
+use mustardpath_core::collection::check;
+use mustardpath_core::config::KeyDigest;
+use mustardpath_core::config::ResourceDemand;
+use mustardpath_core::settings;
+use mustardpath_core::settings::LimitSettings;
+use mustardpath_core::settings::TimingSettings;
+
+const DEPLOYMENTS: [&str; 2] = ["thanh-lam", "cordillera"];
+
+fn example(name: &str) -> PathBuf {
+    PathBuf::from(env!("CARGO_MANIFEST_DIR"))
+        .join("examples")
+        .join(name)
+}
+
+/// Returns what jobs can take on a worker of the deployment, with 2 of 8 slots left to requests.
+/// The design's 256 GB and 128 GB are taken as powers of ten, the smaller reading.
+fn bounds(deployment: &str) -> CheckBounds {
+    let (cores, gigabytes) = match deployment {
+        "thanh-lam" => (64, 256_u64),
+        _ => (32, 128_u64),
+    };
+    let memory = (gigabytes * 1_000_000_000) >> 20;
+    let worker = ResourceDemand {
+        slots: 6,
+        accelerators: 8,
+        cores,
+        memory_mib: u32::try_from(memory).unwrap_or(u32::MAX),
+    };
+    CheckBounds {
+        worker,
+        ..CheckBounds::default()
+    }
+}
+
+/// Guards against examples that the checks refuse or whose keys differ from the documented ones.
+#[test]
+fn team_files_are_valid() {
+    for deployment in DEPLOYMENTS {
+        let files = tree::collect(&example(deployment)).expect("the files can be read");
+        let sources: Vec<_> = files
+            .iter()
+            .map(|(name, bytes)| SourceFile { name, bytes })
+            .collect();
+        let teams = check(&sources, &bounds(deployment)).expect("the files have no mistake");
+        assert_eq!(teams.len(), 4, "{deployment}");
+        for (name, team) in &teams {
+            let key = KeyDigest::of(&format!("{name}-example-key"));
+            assert!(team.key_sha256 == key, "{name} has another key");
+        }
+    }
+}
+
+fn keys(value: &Value) -> Vec<String> {
+    let object = value.as_object().expect("the value is an object");
+    object.keys().cloned().collect()
+}
+
+/// Guards against an example file that leaves out a field or shows another value than the default.
+#[test]
+fn settings_show_every_field_and_its_default() {
+    let text = fs::read_to_string(example("mustardpathd.json")).expect("the file can be read");
+    let settings = settings::read("mustardpathd.json", &text).expect("the file has no mistake");
+    assert_eq!(settings.timing, TimingSettings::default());
+    assert_eq!(settings.limits, LimitSettings::default());
+    let whole = serde_json::to_value(&settings).expect("settings can be encoded");
+    let sections = [&whole, &whole["timing"], &whole["limits"]];
+    for field in sections.into_iter().flat_map(keys) {
+        assert!(
+            text.contains(&format!("\"{field}\": ")),
+            "{field} is not shown"
+        );
+    }
+}
+
+/// Guards against a field of team files that no example explains.
+#[test]
+fn one_team_file_explains_every_field() {
+    let path = example("thanh-lam/services/sand-flow/team.mustardpath.json");
+    let text = fs::read_to_string(&path).expect("the file can be read");
+    let source = SourceFile {
+        name: "sand-flow",
+        bytes: text.as_bytes(),
+    };
+    let teams = check(&[source], &CheckBounds::default()).expect("the file has no mistake");
+    let team = serde_json::to_value(&teams[0]).expect("a team file can be encoded");
+    let shape = &team["guarantees"][0];
+    let service = &team["services"]["dune-analysis"];
+    let parts = [&team, shape, &shape["per_worker"], &team["limits"], service];
+    let lines: Vec<_> = text.lines().map(str::trim).collect();
+    for field in parts.into_iter().flat_map(keys) {
+        let start = format!("\"{field}\": ");
+        let explained = lines
+            .windows(2)
+            .any(|pair| pair[0].starts_with("//") && pair[1].starts_with(&start));
+        assert!(explained, "{field} is not explained");
+    }
+}
