Wait 500 ms for the log, so that a quiet log stays fresh

Cause: a read that finds nothing new answers after log_wait, and the last confirmed read was sent as much earlier. With 1 s the log's tail was known to an age of just over 2 s before each answer, and publishing and starts were refused without any fault. The fault driver showed it: a publish at 6103 ms was refused, the last reads were sent at 4104 and 5106 ms.

Ruled out: counting the time of the answer instead of the sending. Records stored while the answer travels would not be known.

Change: log_wait is 500 ms; settings refuse a wait above a third of the freshness bound.

Figures: age of the tail just before an answer 2 s plus round trips before, 1 s plus round trips after, against a bound of 2 s. An idle daemon reads twice a second.

Conclusion: the bound on starts is unchanged.

--- a/core/src/settings.rs
+++ b/core/src/settings.rs
@@ -143,7 +143,7 @@
             clock_margin: TimeSpan(500),
             claim_step: TimeSpan(200),
             freshness: TimeSpan::from_secs(2),
-            log_wait: TimeSpan::from_secs(1),
+            log_wait: TimeSpan(500),
             log_retry: TimeSpan(500),
             append_interval: TimeSpan(50),
             append_patience: TimeSpan::from_secs(3),
@@ -307,6 +307,7 @@
         check_addresses(&mut document, settings);
         check_zeros(&mut document, settings);
         check_spans(&mut document, settings);
+        check_freshness(&mut document, settings);
         check_ranges(&mut document, settings);
     }
     let problems = document.into_problems();
@@ -435,6 +436,20 @@
     }
 }
 
+/// A read that finds nothing new answers after `log_wait`, and the one before it was sent as much
+/// earlier, so a quiet log is known to an age of twice the wait and the round trips.
+fn check_freshness(document: &mut JsonDocument<'_>, settings: &DaemonSettings) {
+    let timing = &settings.timing;
+    let path = FieldPath::default().key("timing").key("log_wait");
+    if !document.is_reported(&path) && timing.log_wait.0 * 3 > timing.freshness.0 {
+        let (wait, bound) = (format_span(timing.log_wait), format_span(timing.freshness));
+        let message = format!(
+            "{wait} is above a third of freshness ({bound}): a quiet log would count as unreachable"
+        );
+        document.report(&path, message);
+    }
+}
+
 fn check_ranges(document: &mut JsonDocument<'_>, settings: &DaemonSettings) {
     let limits = &settings.limits;
     let path = FieldPath::default().key("limits");
--- a/core/tests/settings.rs
+++ b/core/tests/settings.rs
@@ -52,6 +52,7 @@
         ("\"2 MiB\"", "\"2 MB\"", "d.json:12:15: limits.body: unit \"MB\" is not one of GiB, MiB, KiB, B; an example is \"128 MiB\"".to_owned()),
         ("\"60 s\"", "\"60 sec\"", format!("d.json:11:15: timing.lease: unit \"sec\" is {spans}")),
         ("\"60 s\"", "60", "d.json:11:15: timing.lease: invalid type: integer `60`, expected a string".to_owned()),
+        ("\"60 s\" }", "\"60 s\", \"log_wait\": \"1 s\" }", "d.json:11:32: timing.log_wait: 1 s is above a third of freshness (2 s): a quiet log would count as unreachable".to_owned()),
         ("10.0.0.7:4101", "10.0.0.7:4100", "d.json:7:3: peer_address: 10.0.0.7:4100 is the address of caller_address as well".to_owned()),
         ("10.0.0.8:4300", "vms:4300", "d.json:9:3: vms_address: \"vms:4300\" is not an IP number and port such as \"10.0.0.7:4100\"".to_owned()),
         ("10.0.0.8:4300", "10.0.0.8:0", "d.json:9:3: vms_address: port 0 cannot be connected to".to_owned()),
