--- a/standin/src/checker.rs
+++ b/standin/src/checker.rs
@@ -90,11 +90,19 @@
     out: bool,
 }
 
+#[derive(Clone, Debug)]
+struct WorkerSilence {
+    worker: WorkerName,
+    from: ClockTime,
+    until: Option<ClockTime>,
+}
+
 /// Collects facts and orders and counts broken promises.
 #[derive(Clone, Debug, Default)]
 pub struct OutcomeChecker {
     workers: IndexMap<WorkerName, WorkerInfo>,
-    silent: IndexSet<WorkerName>,
+    silences: Vec<WorkerSilence>,
+    gangs: IndexMap<(JobId, u32), Vec<WorkerName>>,
     spans: Vec<TaskSpan>,
     runs: IndexMap<RequestKey, u32>,
     once_keys: IndexSet<RequestKey>,
@@ -102,6 +110,7 @@
     jobs: IndexMap<JobId, JobPromise>,
     domains: Vec<DomainChange>,
     wrong_answers: Vec<String>,
+    false_refusals: IndexSet<String>,
 }
 
 impl OutcomeChecker {
@@ -138,9 +147,17 @@
         self.once_keys.insert(key.clone());
     }
 
-    /// Notes that the only caller that used this key was told that the work has not run.
+    /// Notes that a caller is told now that the work with this key has not run and will not run
+    /// unless it is sent again.
     pub fn refuse(&mut self, key: &RequestKey) {
         self.refused_keys.insert(key.clone());
+        self.find_false_refusals();
+    }
+
+    /// Notes that a caller sends work with a refused key again.
+    pub fn resend(&mut self, key: &RequestKey) {
+        self.find_false_refusals();
+        self.refused_keys.shift_remove(key);
     }
 
     /// Notes a recorded change of a failure domain.
@@ -152,9 +169,25 @@
         });
     }
 
-    /// Notes that a worker did not answer for a while, which widens the bound of its gangs.
-    pub fn note_silence(&mut self, worker: &WorkerName) {
-        self.silent.insert(worker.clone());
+    /// Notes that a worker stops answering or answers again. While a worker of a gang does not
+    /// answer, the wider bound holds for the gang.
+    pub fn note_silence(&mut self, at: ClockTime, worker: &WorkerName, silent: bool) {
+        let open =
+            |silence: &&mut WorkerSilence| silence.worker == *worker && silence.until.is_none();
+        match self.silences.iter_mut().find(open) {
+            Some(silence) if !silent => silence.until = Some(at),
+            None if silent => self.silences.push(WorkerSilence {
+                worker: worker.clone(),
+                from: at,
+                until: None,
+            }),
+            _ => {}
+        }
+    }
+
+    /// Notes the workers of an attempt, started or not.
+    pub fn place(&mut self, job: JobId, attempt: u32, workers: &[WorkerName]) {
+        self.gangs.insert((job, attempt), workers.to_vec());
     }
 
     /// Compares the answer that a caller got with the one that belongs to its request.
@@ -213,7 +246,8 @@
 
     /// Returns all broken promises up to `at`.
     #[must_use]
-    pub fn report(&self, at: ClockTime) -> OutcomeReport {
+    pub fn report(&mut self, at: ClockTime) -> OutcomeReport {
+        self.find_false_refusals();
         OutcomeReport {
             run_twice: self.find_run_twice(),
             partial_gangs: self.find_partial_gangs(at),
@@ -225,7 +259,7 @@
                 .map(|job| format!("job {job}"))
                 .collect(),
             wrong_answers: self.wrong_answers.clone(),
-            false_refusals: self.find_false_refusals(),
+            false_refusals: self.false_refusals.iter().cloned().collect(),
         }
     }
 
@@ -265,10 +299,11 @@
         broken
     }
 
-    fn find_false_refusals(&self) -> Vec<String> {
+    fn find_false_refusals(&mut self) {
         let refused = self.refused_keys.iter();
         let ran = refused.filter(|key| self.runs.get(*key).is_some_and(|runs| *runs > 0));
-        ran.map(|key| format!("key {key} ran")).collect()
+        let broken = ran.map(|key| format!("key {key} ran"));
+        self.false_refusals.extend(broken);
     }
 
     fn find_partial_gangs(&self, at: ClockTime) -> Vec<String> {
@@ -279,18 +314,36 @@
         }
         let mut broken = Vec::new();
         for ((job, attempt), spans) in gangs {
-            let silent = spans.iter().any(|span| self.silent.contains(&span.worker));
-            let bound = if silent { SILENT_BOUND } else { PARTIAL_BOUND };
-            let partial = longest_partial_run(&spans, at);
-            if partial > bound {
-                broken.push(format!(
-                    "job {job} attempt {attempt}: {partial} ms, bound {bound} ms"
-                ));
+            for (from, until) in partial_runs(&spans, at) {
+                let silent = self.had_silence((job, attempt), &spans, (from, until));
+                let bound = if silent { SILENT_BOUND } else { PARTIAL_BOUND };
+                let partial = until.since(from);
+                if partial > bound {
+                    broken.push(format!(
+                        "job {job} attempt {attempt}: {partial} ms, bound {bound} ms"
+                    ));
+                }
             }
         }
         broken
     }
 
+    fn had_silence(
+        &self,
+        gang: (JobId, u32),
+        spans: &[&TaskSpan],
+        (from, until): (ClockTime, ClockTime),
+    ) -> bool {
+        let placed = self.gangs.get(&gang).into_iter().flatten();
+        let workers: Vec<_> = placed
+            .chain(spans.iter().map(|span| &span.worker))
+            .collect();
+        self.silences.iter().any(|silence| {
+            let overlaps = silence.from <= until && silence.until.is_none_or(|end| end >= from);
+            overlaps && workers.contains(&&silence.worker)
+        })
+    }
+
     fn find_late_starts(&self) -> Vec<String> {
         let mut broken = Vec::new();
         for span in &self.spans {
@@ -351,24 +404,28 @@
     }
 }
 
-/// Returns the longest time in which some members ran while others had not started, had failed
+/// Returns the spans of time in which some members ran while others had not started, had failed
 /// or were stopped.
-fn longest_partial_run(spans: &[&TaskSpan], now: ClockTime) -> TimeSpan {
+fn partial_runs(spans: &[&TaskSpan], now: ClockTime) -> Vec<(ClockTime, ClockTime)> {
     let members = spans.iter().map(|span| span.members).max().unwrap_or(0);
     let mut times: Vec<_> = spans.iter().map(|span| span.started).collect();
     times.extend(spans.iter().filter_map(|span| span.ended).map(|(at, _)| at));
     times.push(now);
     times.sort();
-    let mut longest = TimeSpan(0);
+    let mut runs = Vec::new();
     let mut partial_since = None;
     for at in times {
         let holding = spans.iter().filter(|span| span.holds_at(at)).count();
         let running = spans.iter().any(|span| span.runs_at(at));
         let partial = running && holding < members as usize;
-        if let Some(since) = partial_since {
-            longest = longest.max(at.since(since));
+        match partial_since {
+            Some(since) if !partial || at == now => {
+                runs.push((since, at));
+                partial_since = None;
+            }
+            None if partial => partial_since = Some(at),
+            _ => {}
         }
-        partial_since = partial.then(|| partial_since.unwrap_or(at));
     }
-    longest
+    runs
 }
--- a/standin/src/faults.rs
+++ b/standin/src/faults.rs
@@ -96,9 +96,8 @@
     pub fn set_worker_fault(&mut self, worker: &WorkerName, fault: WorkerFault) {
         let at = self.now();
         self.note(|| format!("{worker}: {fault:?}"));
-        if fault.dead || fault.paused {
-            self.checker.note_silence(worker);
-        }
+        let silent = fault.dead || fault.paused || fault.loses_answers;
+        self.checker.note_silence(at, worker, silent);
         self.workers[worker].set_fault(at, fault);
         if self.workers[worker].answers() {
             self.deliver_late_commands(worker);
--- a/standin/src/log_link.rs
+++ b/standin/src/log_link.rs
@@ -114,6 +114,12 @@
                     self.checker.end_job(*job);
                 }
             }
+            RecordBody::JobPlaced {
+                job,
+                attempt,
+                workers,
+                ..
+            } => self.checker.place(*job, *attempt, workers),
             RecordBody::RequestIntent { key, .. } => self.checker.promise_once(key),
             RecordBody::DomainSet { domain, out, .. } => {
                 self.checker.set_domain(now, domain, *out);
--- a/standin/tests/models.rs
+++ b/standin/tests/models.rs
@@ -335,6 +335,23 @@
     assert_eq!(report.over_capacity.len(), 1);
 }
 
+#[test]
+fn the_checker_allows_a_lease_while_a_worker_is_silent() {
+    // Guards against a bound that is wide for all gangs after one worker was silent.
+    let mut checker = OutcomeChecker::new(&[info("w1"), info("w2")]);
+    checker.place(JobId(1), 1, &["w1".into(), "w2".into()]);
+    checker.note_silence(ClockTime(100), &"w2".into(), true);
+    checker.note_silence(ClockTime(30_000), &"w2".into(), false);
+    let (first, later) = (task(1, 1, 0), task(2, 1, 0));
+    let alone = vec![started(0, first), ended(45_500, first, false)];
+    checker.observe(&"w1".into(), alone);
+    assert!(checker.report(ClockTime(50_000)).partial_gangs.is_empty());
+    checker.place(JobId(2), 1, &["w1".into(), "w2".into()]);
+    let alone = vec![started(60_000, later), ended(63_000, later, false)];
+    checker.observe(&"w1".into(), alone);
+    assert_eq!(checker.report(ClockTime(70_000)).partial_gangs.len(), 1);
+}
+
 #[test]
 fn the_checker_counts_lost_work_and_wrong_answers() {
     // Guards against a checker that overlooks promises to callers.
--- /dev/null
+++ b/tests/cells/scene.rs
@@ -0,0 +1,221 @@
+//! The deployment and the work of one cell.
+
+use indexmap::IndexMap;
+
+use mustardpath_core::config::GangAdjacency;
+use mustardpath_core::config::KeyDigest;
+use mustardpath_core::config::ResourceDemand;
+use mustardpath_core::config::ServiceSpec;
+use mustardpath_core::config::TeamFile;
+use mustardpath_core::config::TeamLimits;
+use mustardpath_core::config::WorkKind;
+use mustardpath_core::event::CallerCommand;
+use mustardpath_core::event::CallerCredential;
+use mustardpath_core::ids::CallerId;
+use mustardpath_core::ids::ConfigVersion;
+use mustardpath_core::policy::PolicyKind;
+use mustardpath_core::settings::DaemonSettings;
+use mustardpath_core::settings::LimitSettings;
+use mustardpath_core::settings::TimingSettings;
+use mustardpath_core::units::TimeSpan;
+use mustardpath_core::worker::VmState;
+use mustardpath_core::worker::WorkerInfo;
+use mustardpath_standin::driver::SimDriver;
+use mustardpath_standin::driver::SimPlan;
+
+/// Failure domains with their regions and numbers of workers: those of one deployment.
+const DOMAINS: [(&str, &str, usize); 3] = [
+    ("sg-a", "south", 3),
+    ("ct-a", "south", 3),
+    ("hn-a", "north", 2),
+];
+
+/// The team of all work.
+pub const TEAM: &str = "sand-flow";
+
+const TEAM_KEY: &str = "team key";
+const OPERATOR_KEY: &str = "operator key";
+
+/// Tries of the operator who publishes the team file; a refusal advises to try again.
+const PUBLISH_TRIES: u32 = 5;
+
+/// Seed of the cells: one fixed run each.
+const SEED: u64 = 20_261_204;
+
+/// Returns the credential of the team's callers.
+pub fn team_credential() -> CallerCredential {
+    CallerCredential {
+        digest: Some(KeyDigest::of(TEAM_KEY)),
+    }
+}
+
+fn operator_credential() -> CallerCredential {
+    CallerCredential {
+        digest: Some(KeyDigest::of(OPERATOR_KEY)),
+    }
+}
+
+fn daemon(index: usize, (domain, region, _): (&str, &str, usize)) -> DaemonSettings {
+    DaemonSettings {
+        daemon: format!("d{index}").as_str().into(),
+        region: region.into(),
+        domain: domain.into(),
+        caller_address: format!("127.0.0.1:{}", 7_000 + index),
+        peer_address: format!("127.0.0.1:{}", 7_100 + index),
+        log_address: "127.0.0.1:7200".into(),
+        vms_address: "127.0.0.1:7201".into(),
+        statsd_address: None,
+        operator_key_sha256: KeyDigest::of(OPERATOR_KEY),
+        policy: PolicyKind::default(),
+        timing: TimingSettings {
+            // A snapshot has to fall into the short life of a cell.
+            snapshot: TimeSpan::from_secs(15),
+            ..TimingSettings::default()
+        },
+        limits: LimitSettings::default(),
+    }
+}
+
+fn worker(number: usize, (domain, region, _): (&str, &str, usize)) -> WorkerInfo {
+    WorkerInfo {
+        worker: format!("w{number}").as_str().into(),
+        address: format!("127.0.0.1:{}", 8_000 + number),
+        region: region.into(),
+        domain: domain.into(),
+        rack: format!("{domain}-r1").as_str().into(),
+        capacity: ResourceDemand {
+            slots: 8,
+            accelerators: 8,
+            cores: 64,
+            memory_mib: 256 << 10,
+        },
+        connections: 64,
+        state: VmState::Live,
+    }
+}
+
+fn service(work: WorkKind, repeatable: bool, members: u32, run_time: u64) -> ServiceSpec {
+    ServiceSpec {
+        work,
+        repeatable,
+        urgent: false,
+        preemptible: repeatable,
+        priority: 0,
+        members,
+        demand: ResourceDemand {
+            slots: 1,
+            accelerators: if members > 1 { 8 } else { 1 },
+            cores: 8,
+            memory_mib: 1_024,
+        },
+        adjacency: GangAdjacency::FewestRacks,
+        spread_domains: false,
+        run_time: TimeSpan(run_time),
+        deadline: None,
+    }
+}
+
+/// Returns the team file, with the given weight to tell versions apart.
+pub fn team_file(weight: u32) -> TeamFile {
+    let services = [
+        ("gang", service(WorkKind::Job, true, 3, 20_000)),
+        ("small", service(WorkKind::Job, true, 1, 2_000)),
+        ("once", service(WorkKind::Job, false, 1, 8_000)),
+        ("ask", service(WorkKind::Request, true, 1, 500)),
+        ("ask-once", service(WorkKind::Request, false, 1, 500)),
+    ];
+    TeamFile {
+        team: TEAM.into(),
+        key_sha256: KeyDigest::of(TEAM_KEY),
+        weight,
+        guarantees: Vec::new(),
+        limits: TeamLimits::default(),
+        services: services
+            .into_iter()
+            .map(|(name, spec)| (name.into(), spec))
+            .collect::<IndexMap<_, _>>(),
+    }
+}
+
+/// Starts a deployment and publishes the team file.
+///
+/// # Panics
+///
+/// Panics when the deployment does not come up, because no cell means anything then.
+pub fn start(tracing: bool) -> SimDriver {
+    let numbered = DOMAINS
+        .iter()
+        .flat_map(|domain| std::iter::repeat_n(*domain, domain.2))
+        .enumerate();
+    let mut driver = SimDriver::new(SimPlan {
+        seed: SEED,
+        daemons: DOMAINS
+            .iter()
+            .enumerate()
+            .map(|(index, domain)| daemon(index, *domain))
+            .collect(),
+        workers: numbered
+            .map(|(number, domain)| worker(number, domain))
+            .collect(),
+        log_region: "south".into(),
+    });
+    driver.tracing = tracing;
+    let up = |driver: &SimDriver| driver.ledger().term.holder.is_some();
+    assert!(driver.run_until(TimeSpan::from_secs(30), up), "no planner");
+    driver.run_for(TimeSpan::from_secs(6));
+    for _ in 0..PUBLISH_TRIES {
+        publish(&mut driver, 0, 1);
+        driver.run_for(TimeSpan::from_secs(1));
+        if driver.ledger().config.version == ConfigVersion(1) {
+            return driver;
+        }
+    }
+    panic!("no configuration after {PUBLISH_TRIES} tries");
+}
+
+/// Publishes the team file against a base version, through the first daemon that is up.
+pub fn publish(driver: &mut SimDriver, base: u64, weight: u32) -> CallerId {
+    let command = CallerCommand::ConfigPublish {
+        base: ConfigVersion(base),
+        upsert: vec![team_file(weight)],
+        remove: Vec::new(),
+        operator: format!("operator {weight}"),
+    };
+    let daemon = up_daemon(driver, 0);
+    driver.send(daemon, operator_credential(), command, b"")
+}
+
+/// Takes a failure domain out or brings it back.
+pub fn set_domain(driver: &mut SimDriver, domain: &str, out: bool) -> CallerId {
+    let command = CallerCommand::DomainSet {
+        domain: domain.into(),
+        out,
+        operator: "operator".into(),
+        confirmed: true,
+    };
+    let daemon = up_daemon(driver, 0);
+    driver.send(daemon, operator_credential(), command, b"")
+}
+
+/// Cancels the gang, when it is on record.
+pub fn cancel_gang(driver: &mut SimDriver) {
+    let mut jobs = driver.ledger().jobs.iter();
+    let gang = jobs.find(|(_, job)| job.order.service.as_str() == "gang");
+    let Some(job) = gang.map(|(job, _)| *job) else {
+        return;
+    };
+    let command = CallerCommand::JobCancel {
+        team: TEAM.into(),
+        job,
+    };
+    let daemon = up_daemon(driver, 1);
+    driver.send(daemon, team_credential(), command, b"");
+}
+
+/// Returns the first daemon from `from` on whose process runs.
+pub fn up_daemon(driver: &SimDriver, from: usize) -> usize {
+    let count = driver.daemons();
+    let candidates = (0..count).map(|step| (from + step) % count);
+    let mut up = candidates.filter(|daemon| driver.is_up(*daemon));
+    up.next().unwrap_or(from % count)
+}
--- /dev/null
+++ b/tests/fault_matrix.rs
@@ -0,0 +1,124 @@
+//! A matrix of steps by faults. Each cell holds all promises or names the broken ones.
+//!
+//! `FAULT_CELL="Start:region cut" cargo test --test fault_matrix -- --nocapture` runs one cell and
+//! prints its trace.
+
+mod cells;
+
+use std::sync::Mutex;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+use std::thread;
+
+use cells::fault::CellFault;
+use cells::fault::FAULTS;
+use cells::run_cell;
+use cells::step::CellStep;
+use cells::step::STEPS;
+
+/// Threads that run cells. The cells share nothing, so the table does not depend on their order.
+const THREADS: usize = 4;
+
+/// Least number of cells that the matrix has to hold.
+const LEAST_CELLS: usize = 250;
+
+type CellOutcome = (usize, Vec<String>);
+
+fn cells() -> Vec<(CellStep, &'static CellFault)> {
+    let pairs = STEPS
+        .iter()
+        .flat_map(|step| FAULTS.iter().map(|fault| (*step, fault)));
+    pairs.collect()
+}
+
+fn run_all(cells: &[(CellStep, &'static CellFault)]) -> Vec<CellOutcome> {
+    let next = AtomicUsize::new(0);
+    let outcomes = Mutex::new(Vec::new());
+    let work = || {
+        while let Some((index, (step, fault))) = {
+            let index = next.fetch_add(1, Ordering::Relaxed);
+            cells.get(index).map(|cell| (index, *cell))
+        } {
+            if fault.impossible_at(step).is_none() {
+                let (broken, _) = run_cell(step, fault, false);
+                outcomes
+                    .lock()
+                    .expect("no cell panics")
+                    .push((index, broken));
+            }
+        }
+    };
+    thread::scope(|scope| {
+        for _ in 0..THREADS {
+            scope.spawn(work);
+        }
+    });
+    let mut outcomes = outcomes.into_inner().expect("no cell panics");
+    outcomes.sort();
+    outcomes
+}
+
+fn print_table(cells: &[(CellStep, &'static CellFault)], outcomes: &[CellOutcome]) {
+    for (number, fault) in FAULTS.iter().enumerate() {
+        println!("{:>3}  {}", number + 1, fault.name);
+    }
+    let numbers = (1..=FAULTS.len()).map(|number| format!("{number:>3}"));
+    println!("{:<12}{}", "step", numbers.collect::<String>());
+    for step in STEPS {
+        let row = cells.iter().enumerate().filter(|(_, cell)| cell.0 == step);
+        let marks = row.map(
+            |(index, _)| match outcomes.iter().find(|cell| cell.0 == index) {
+                None => "  -",
+                Some((_, broken)) if broken.is_empty() => "  .",
+                Some(_) => "  X",
+            },
+        );
+        println!("{:<12}{}", format!("{step:?}"), marks.collect::<String>());
+    }
+    println!(". held, X broken, - cannot occur");
+}
+
+fn print_reasons(cells: &[(CellStep, &'static CellFault)], outcomes: &[CellOutcome]) {
+    for (step, fault) in cells {
+        if let Some(reason) = fault.impossible_at(*step) {
+            println!("cannot occur: {step:?}, {}: {reason}", fault.name);
+        }
+    }
+    for (index, broken) in outcomes {
+        let (step, fault) = cells[*index];
+        for line in broken {
+            println!("broken: {step:?}, {}: {line}", fault.name);
+        }
+    }
+}
+
+fn run_named(name: &str) {
+    let found = cells()
+        .into_iter()
+        .find(|(step, fault)| format!("{step:?}:{}", fault.name) == name);
+    let (step, fault) = found.expect("FAULT_CELL names a step and a fault");
+    let (broken, trace) = run_cell(step, fault, true);
+    trace.iter().for_each(|line| println!("{line}"));
+    broken.iter().for_each(|line| println!("broken: {line}"));
+    assert!(broken.is_empty(), "{name} is broken");
+}
+
+#[test]
+fn every_cell_holds_all_promises() {
+    // Guards against a fault at one step of the work that breaks a promise.
+    if let Ok(name) = std::env::var("FAULT_CELL") {
+        return run_named(&name);
+    }
+    let cells = cells();
+    let outcomes = run_all(&cells);
+    print_table(&cells, &outcomes);
+    print_reasons(&cells, &outcomes);
+    let broken = outcomes.iter().filter(|cell| !cell.1.is_empty()).count();
+    println!(
+        "fault matrix: {} cells, {} held, {broken} broken",
+        outcomes.len(),
+        outcomes.len() - broken
+    );
+    assert!(outcomes.len() >= LEAST_CELLS, "too few cells");
+    assert_eq!(broken, 0, "broken cells are listed above");
+}
