Add the daemon's threads around the reducer

Cause: the core has events and effects, and nothing carries them between sockets and the reducer.

Change: control thread, dispatch of effects over bounded channels, HTTP for callers, calls to workers and endpoints, log client, peer RPC, gate, logger, metrics, signals, and the binary `mustardpathd`.

Ruled out: socket timeouts in the HTTP library. It offers none, and timeouts on the listening socket would end its accept loop. The gate in front of it sets the limits and tells when a caller leaves. Also ruled out: sending `Connection: close` through the library, which filters that header.

--- /dev/null
+++ b/src/daemon.rs
@@ -0,0 +1,157 @@
+//! One daemon: its threads, wired together, and its orderly end.
+
+use std::io;
+use std::net::TcpListener;
+use std::sync::Arc;
+use std::thread::JoinHandle;
+
+use crate::callers;
+use crate::callers::CallerContext;
+use crate::callers::CallerServer;
+use crate::control;
+use crate::control::EventSender;
+use crate::control::RunClock;
+use crate::dispatch::EffectPorts;
+use crate::exchange::ExchangeTable;
+use crate::gate;
+use crate::gate::GateContext;
+use crate::gate::GatePhase;
+use crate::gate::GateThread;
+use crate::log_client;
+use crate::log_client::LogContext;
+use crate::logs;
+use crate::metrics::MetricSink;
+use crate::outbound;
+use crate::outbound::OutboundContext;
+use crate::peers;
+use mustardpath_core::event::EventInput;
+use mustardpath_core::event::ShutdownLevel;
+use mustardpath_core::ids::WriterId;
+use mustardpath_core::settings::DaemonSettings;
+use mustardpath_core::state::DaemonState;
+use mustardpath_core::units::TimeSpan;
+
+/// Bytes of a request beyond its body: its line and its headers.
+const HEAD_BYTES: usize = 16 << 10;
+
+/// Time for the answer of an append. The append's outcome is unknown after it.
+const APPEND_TIME: TimeSpan = TimeSpan::from_secs(2);
+
+/// A running daemon.
+pub struct RunningDaemon {
+    /// The settings with the addresses that the system chose.
+    pub settings: Arc<DaemonSettings>,
+    events: EventSender,
+    control: JoinHandle<()>,
+    server: CallerServer,
+    gate: GateThread,
+}
+
+impl RunningDaemon {
+    /// Starts a daemon. Port 0 in an address of the settings leaves the choice to the system.
+    ///
+    /// # Errors
+    ///
+    /// Returns the system's error when a socket or a thread cannot be set up.
+    pub fn start(mut settings: DaemonSettings) -> io::Result<Self> {
+        let callers = bind(&mut settings.caller_address)?;
+        let peers = bind(&mut settings.peer_address)?;
+        let incarnation = fastrand::u64(..);
+        let settings = Arc::new(settings);
+        let (events, received) = control::event_channel();
+        let limit = settings.limits.waiting_callers as usize;
+        let exchanges = Arc::new(ExchangeTable::new(limit));
+        let clock = RunClock::start();
+        let context = OutboundContext {
+            events: events.clone(),
+            exchanges: Arc::clone(&exchanges),
+            writer: WriterId {
+                daemon: settings.daemon.clone(),
+                incarnation,
+            },
+            settings: Arc::clone(&settings),
+        };
+        let ports = open_ports(&context, clock, peers)?;
+        let server = callers::spawn(CallerContext {
+            events: events.clone(),
+            exchanges: Arc::clone(&exchanges),
+            settings: Arc::clone(&settings),
+        })?;
+        let gate = gate::spawn(GateContext {
+            listener: callers,
+            server: server.address,
+            connections: limit,
+            request_bytes: 4 * body_limit(&settings) + HEAD_BYTES,
+            exchanges,
+            events: events.clone(),
+        })?;
+        let state = DaemonState::new(DaemonSettings::clone(&settings), incarnation);
+        let control = control::spawn(state, clock, received, ports)?;
+        Ok(Self {
+            settings,
+            events,
+            control,
+            server,
+            gate,
+        })
+    }
+
+    /// Returns a sender for events from outside, such as signals.
+    #[must_use]
+    pub fn events(&self) -> EventSender {
+        self.events.clone()
+    }
+
+    /// Starts the graceful shutdown.
+    pub fn drain(&self) {
+        let level = ShutdownLevel::Drain;
+        // The control thread has ended already when the channel is closed.
+        let _ = self.events.blocking_send(EventInput::Shutdown { level });
+    }
+
+    /// Waits until the control thread ends, then until each answer is with its caller.
+    pub fn wait(self) {
+        // A panic of the control thread ends the process as well, after the answers.
+        let _ = self.control.join();
+        self.gate.enter(GatePhase::Draining);
+        self.server.finish();
+        self.gate.close();
+    }
+}
+
+fn bind(address: &mut String) -> io::Result<TcpListener> {
+    let listener = TcpListener::bind(address.as_str())
+        .map_err(|error| io::Error::new(error.kind(), format!("{address}: {error}")))?;
+    *address = listener.local_addr()?.to_string();
+    Ok(listener)
+}
+
+fn body_limit(settings: &DaemonSettings) -> usize {
+    usize::try_from(settings.limits.body.0).unwrap_or(usize::MAX / 8)
+}
+
+fn open_ports(
+    context: &OutboundContext,
+    clock: RunClock,
+    peers: TcpListener,
+) -> io::Result<EffectPorts> {
+    let settings = &context.settings;
+    let piece = settings.limits.snapshot_piece.0;
+    let log = LogContext {
+        events: context.events.clone(),
+        address: settings.log_address.clone(),
+        clock,
+        append_time: APPEND_TIME,
+        piece_bytes: usize::try_from(piece).unwrap_or(usize::MAX),
+    };
+    Ok(EffectPorts {
+        reads: log_client::spawn_reader(log.clone())?,
+        writes: log_client::spawn_writer(log)?,
+        calls: outbound::spawn_calls(context)?,
+        requests: outbound::spawn_requests(context)?,
+        peers: peers::spawn(settings.daemon.clone(), peers, context.events.clone())?,
+        lines: logs::spawn(settings.daemon.to_string())?,
+        metrics: MetricSink::open(settings.statsd_address.as_deref())?,
+        exchanges: Arc::clone(&context.exchanges),
+    })
+}
--- /dev/null
+++ b/src/http_client.rs
@@ -0,0 +1,193 @@
+//! HTTP calls from one thread, with a timeout for each phase.
+
+use std::collections::HashMap;
+use std::io;
+use std::time::Duration;
+use std::time::Instant;
+
+use ureq::Agent;
+use ureq::Body;
+use ureq::Error;
+use ureq::Timeout;
+use ureq::http::Response;
+
+/// Longest time to set up a connection. One-way delays are at most 20 ms.
+const CONNECT: Duration = Duration::from_secs(1);
+
+/// Age at which an idle connection is closed.
+const IDLE_AGE: Duration = Duration::from_secs(10);
+
+/// Idle connections of one thread.
+const IDLE_CONNECTIONS: usize = 16;
+
+/// Why there is no response.
+#[derive(Debug)]
+pub enum CallError {
+    /// No connection was made, so no byte was sent.
+    Undelivered(String),
+    /// The request may have arrived.
+    Unknown(String),
+}
+
+/// A whole response.
+#[derive(Debug)]
+pub struct HttpReply {
+    /// The status code.
+    pub status: u16,
+    headers: Vec<(String, String)>,
+    /// The body.
+    pub body: Vec<u8>,
+}
+
+/// One request.
+#[derive(Clone, Copy, Debug)]
+pub struct HttpCall<'a> {
+    /// IP number and port.
+    pub address: &'a str,
+    /// The path with its query.
+    pub path: &'a str,
+    /// Names and values of further headers.
+    pub headers: &'a [(&'a str, String)],
+    /// The body of a POST; a request without one is a GET.
+    pub body: Option<&'a [u8]>,
+    /// Longest time to the whole response.
+    pub timeout: Duration,
+}
+
+/// The connections of one thread.
+pub struct HttpClient {
+    pooled: Agent,
+    fresh: Agent,
+    body_limit: u64,
+    suspects: HashMap<String, Instant>,
+}
+
+impl HttpReply {
+    /// Returns the value of a header.
+    #[must_use]
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers
+            .iter()
+            .find(|(found, _)| found.eq_ignore_ascii_case(name))
+            .map(|(_, value)| value.as_str())
+    }
+}
+
+impl HttpClient {
+    /// Creates a client that takes bodies of up to `body_limit` bytes.
+    #[must_use]
+    pub fn new(body_limit: u64) -> Self {
+        Self {
+            pooled: agent(IDLE_CONNECTIONS),
+            fresh: agent(0),
+            body_limit,
+            suspects: HashMap::new(),
+        }
+    }
+
+    /// Sends a request and reads the whole response.
+    ///
+    /// After a failure the address is called over new connections only, until the idle ones have
+    /// reached their age: connections to one address tend to fall silent together.
+    ///
+    /// # Errors
+    ///
+    /// Returns whether the request can have arrived.
+    pub fn call(&mut self, call: &HttpCall<'_>) -> Result<HttpReply, CallError> {
+        let result = send(self.agent_for(call.address), call)
+            .and_then(|response| read(response, self.body_limit));
+        result.map_err(|error| {
+            self.suspect(call.address);
+            classify(&error)
+        })
+    }
+
+    fn agent_for(&self, address: &str) -> &Agent {
+        match self.suspects.get(address) {
+            Some(until) if *until > Instant::now() => &self.fresh,
+            _ => &self.pooled,
+        }
+    }
+
+    fn suspect(&mut self, address: &str) {
+        let now = Instant::now();
+        self.suspects.retain(|_, until| *until > now);
+        self.suspects.insert(address.into(), now + IDLE_AGE);
+    }
+}
+
+fn agent(idle: usize) -> Agent {
+    Agent::config_builder()
+        .http_status_as_error(false)
+        .max_redirects(0)
+        .max_redirects_will_error(false)
+        .proxy(None)
+        .max_idle_connections(idle)
+        .max_idle_connections_per_host(idle.min(1))
+        .max_idle_age(IDLE_AGE)
+        .build()
+        .new_agent()
+}
+
+fn send(agent: &Agent, call: &HttpCall<'_>) -> Result<Response<Body>, Error> {
+    let url = format!("http://{}{}", call.address, call.path);
+    let limit = Some(call.timeout);
+    match call.body {
+        Some(body) => {
+            let mut request = agent.post(&url);
+            for (name, value) in call.headers {
+                request = request.header(*name, value);
+            }
+            request
+                .config()
+                .timeout_connect(Some(CONNECT.min(call.timeout)))
+                .timeout_send_body(limit)
+                .timeout_recv_response(limit)
+                .timeout_global(limit)
+                .build()
+                .send(body)
+        }
+        None => agent
+            .get(&url)
+            .config()
+            .timeout_connect(Some(CONNECT.min(call.timeout)))
+            .timeout_recv_response(limit)
+            .timeout_global(limit)
+            .build()
+            .call(),
+    }
+}
+
+fn read(mut response: Response<Body>, limit: u64) -> Result<HttpReply, Error> {
+    let headers = response
+        .headers()
+        .iter()
+        .filter_map(|(name, value)| Some((name.to_string(), value.to_str().ok()?.to_string())))
+        .collect();
+    let status = response.status().as_u16();
+    let body = response
+        .body_mut()
+        .with_config()
+        .limit(limit)
+        .read_to_vec()?;
+    Ok(HttpReply {
+        status,
+        headers,
+        body,
+    })
+}
+
+fn classify(error: &Error) -> CallError {
+    let text = error.to_string();
+    match error {
+        Error::Io(cause) if cause.kind() == io::ErrorKind::ConnectionRefused => {
+            CallError::Undelivered(text)
+        }
+        Error::Timeout(Timeout::Connect | Timeout::Resolve)
+        | Error::HostNotFound
+        | Error::ConnectionFailed
+        | Error::BadUri(_)
+        | Error::Http(_) => CallError::Undelivered(text),
+        _ => CallError::Unknown(text),
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,3 +2,28 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 #![warn(clippy::all)]
+
+pub mod callers;
+pub mod control;
+pub mod daemon;
+pub mod digest;
+pub mod dispatch;
+pub mod exchange;
+pub mod gate;
+pub mod http_client;
+pub mod log_client;
+pub mod logs;
+pub mod metrics;
+pub mod outbound;
+pub mod peer_message;
+pub mod peer_service;
+pub mod peers;
+pub mod problem;
+pub mod route_table;
+pub mod settings_file;
+pub mod signals;
+
+// Generated from `schema/peer.capnp`; the generated code names itself by this path.
+#[allow(missing_docs, clippy::all, clippy::pedantic, rustdoc::all)]
+#[rustfmt::skip]
+pub mod peer_capnp;
--- /dev/null
+++ b/src/log_client.rs
@@ -0,0 +1,258 @@
+//! The two threads that talk to the platform's log: one reads, one writes.
+
+use std::io;
+use std::thread;
+use std::time::Duration;
+
+use crossbeam_channel::Sender;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::control::EventSender;
+use crate::control::RunClock;
+use crate::http_client::CallError;
+use crate::http_client::HttpCall;
+use crate::http_client::HttpClient;
+use crate::http_client::HttpReply;
+use mustardpath_core::event::AppendOutcome;
+use mustardpath_core::event::EncodedSnapshot;
+use mustardpath_core::event::EventInput;
+use mustardpath_core::event::ReadOutcome;
+use mustardpath_core::ids::BatchId;
+use mustardpath_core::ids::LogOffset;
+use mustardpath_core::record;
+use mustardpath_core::record::LogRecord;
+use mustardpath_core::record::StoredRecord;
+use mustardpath_core::units::TimeSpan;
+
+/// Jobs that wait for one of the threads. The reducer has at most one append, one read and one
+/// snapshot under way.
+const JOB_QUEUE: usize = 8;
+
+/// Largest answer of the log, in bytes.
+const ANSWER_BYTES: u64 = 16 << 20;
+
+/// Records asked for in one read of the control stream.
+const READ_RECORDS: u32 = 2_000;
+
+/// Pieces asked for in one read of the snapshot stream.
+const READ_PIECES: u32 = 256;
+
+/// Time for the answer beyond the wait that the read asks for. The log is usually answered
+/// within milliseconds; a read that takes longer counts as failed.
+const ANSWER_TIME: Duration = Duration::from_secs(2);
+
+/// The stream of all records.
+pub const CONTROL_STREAM: &str = "control";
+
+/// The stream of snapshot pieces.
+pub const SNAPSHOT_STREAM: &str = "snapshots";
+
+/// A job of the log-read thread.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ReadJob {
+    /// Reads the control stream.
+    Records {
+        /// The first offset.
+        from: LogOffset,
+        /// Longest wait for a record.
+        wait: TimeSpan,
+    },
+    /// Reads the newest whole snapshot.
+    Snapshot,
+}
+
+/// A job of the log-write thread.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum WriteJob {
+    /// Appends records to the control stream.
+    Append {
+        /// The batch.
+        batch: BatchId,
+        /// The records.
+        records: Vec<LogRecord>,
+    },
+    /// Writes a snapshot in pieces.
+    Snapshot(EncodedSnapshot),
+}
+
+/// One record in an answer of the log.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StreamRecord {
+    /// The place.
+    pub offset: u64,
+    /// The record's text.
+    pub text: String,
+}
+
+/// The log's answer to a read.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StreamSlice {
+    /// Records in order.
+    pub records: Vec<StreamRecord>,
+    /// The offset after the last record of the stream.
+    pub tail: u64,
+}
+
+/// The log's answer to a read of an offset that is no longer kept, with status 410.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StreamExpired {
+    /// The oldest offset kept.
+    pub oldest: u64,
+}
+
+/// What both threads need.
+#[derive(Clone)]
+pub struct LogContext {
+    /// Takes the outcomes.
+    pub events: EventSender,
+    /// IP number and port of the log.
+    pub address: String,
+    /// The control thread's clock.
+    pub clock: RunClock,
+    /// Longest time to the answer of an append.
+    pub append_time: TimeSpan,
+    /// Size of one snapshot piece in bytes.
+    pub piece_bytes: usize,
+}
+
+struct LogConnection {
+    context: LogContext,
+    client: HttpClient,
+}
+
+enum StreamRead {
+    Slice(StreamSlice),
+    Expired(StreamExpired),
+    Failed,
+}
+
+/// Starts the log-read thread.
+///
+/// # Errors
+///
+/// Returns the system's error when the thread cannot be started.
+pub fn spawn_reader(context: LogContext) -> io::Result<Sender<ReadJob>> {
+    spawn("log-read", context, |connection, job| match job {
+        ReadJob::Records { from, wait } => connection.read_records(from, wait),
+        ReadJob::Snapshot => connection.read_snapshot(),
+    })
+}
+
+/// Starts the log-write thread.
+///
+/// # Errors
+///
+/// Returns the system's error when the thread cannot be started.
+pub fn spawn_writer(context: LogContext) -> io::Result<Sender<WriteJob>> {
+    spawn("log-write", context, |connection, job| match job {
+        WriteJob::Append { batch, records } => {
+            let texts = records.iter().map(record::encode).collect();
+            let outcome = connection.append(CONTROL_STREAM, texts);
+            EventInput::AppendDone { batch, outcome }
+        }
+        WriteJob::Snapshot(_) => EventInput::SnapshotWritten { stored: false },
+    })
+}
+
+fn spawn<J: Send + 'static>(
+    name: &str,
+    context: LogContext,
+    run: fn(&mut LogConnection, J) -> EventInput,
+) -> io::Result<Sender<J>> {
+    let (sender, jobs) = crossbeam_channel::bounded(JOB_QUEUE);
+    thread::Builder::new().name(name.into()).spawn(move || {
+        let client = HttpClient::new(ANSWER_BYTES);
+        let mut connection = LogConnection { context, client };
+        for job in jobs {
+            let input = run(&mut connection, job);
+            // The control thread has ended when the channel is closed.
+            let _ = connection.context.events.blocking_send(input);
+        }
+    })?;
+    Ok(sender)
+}
+
+impl LogConnection {
+    fn read_records(&mut self, from: LogOffset, wait: TimeSpan) -> EventInput {
+        let sent = self.context.clock.now();
+        let outcome = match self.read(CONTROL_STREAM, from.0, READ_RECORDS, wait) {
+            StreamRead::Slice(slice) => ReadOutcome::Records {
+                records: slice.records.iter().map(decode_record).collect(),
+                tail: LogOffset(slice.tail),
+                sent,
+            },
+            StreamRead::Expired(expired) => ReadOutcome::Expired {
+                oldest: LogOffset(expired.oldest),
+            },
+            StreamRead::Failed => ReadOutcome::Failed,
+        };
+        EventInput::LogRead { from, outcome }
+    }
+
+    fn read(&mut self, stream: &str, from: u64, max: u32, wait: TimeSpan) -> StreamRead {
+        let wait_ms = wait.0;
+        let call = HttpCall {
+            address: &self.context.address,
+            path: &format!("/streams/{stream}/records?from={from}&max={max}&wait_ms={wait_ms}"),
+            headers: &[],
+            body: None,
+            timeout: Duration::from_millis(wait_ms) + ANSWER_TIME,
+        };
+        let Ok(reply) = self.client.call(&call) else {
+            return StreamRead::Failed;
+        };
+        decode_read(&reply).unwrap_or(StreamRead::Failed)
+    }
+
+    fn append(&mut self, stream: &str, texts: Vec<Vec<u8>>) -> AppendOutcome {
+        let texts: Vec<String> = texts
+            .into_iter()
+            .filter_map(|bytes| String::from_utf8(bytes).ok())
+            .collect();
+        let Ok(body) = serde_json::to_vec(&texts) else {
+            return AppendOutcome::Refused;
+        };
+        let call = HttpCall {
+            address: &self.context.address,
+            path: &format!("/streams/{stream}/records"),
+            headers: &[],
+            body: Some(&body),
+            timeout: Duration::from_millis(self.context.append_time.0),
+        };
+        match self.client.call(&call) {
+            Ok(reply) if reply.status == 200 => AppendOutcome::Stored,
+            Ok(reply) if matches!(reply.status, 400..=499 | 503) => AppendOutcome::Refused,
+            Err(CallError::Undelivered(_)) => AppendOutcome::Refused,
+            Ok(_) | Err(CallError::Unknown(_)) => AppendOutcome::Unknown,
+        }
+    }
+
+    /// Tells whether the log answers. Snapshots wait for their format in the core crate.
+    fn read_snapshot(&mut self) -> EventInput {
+        let answer = self.read(SNAPSHOT_STREAM, 0, READ_PIECES, TimeSpan(0));
+        EventInput::SnapshotRead {
+            snapshot: None,
+            reachable: !matches!(answer, StreamRead::Failed),
+        }
+    }
+}
+
+fn decode_record(stream: &StreamRecord) -> StoredRecord {
+    StoredRecord {
+        offset: LogOffset(stream.offset),
+        record: record::decode(stream.text.as_bytes()),
+    }
+}
+
+fn decode_read(reply: &HttpReply) -> Option<StreamRead> {
+    match reply.status {
+        200 => serde_json::from_slice(&reply.body)
+            .ok()
+            .map(StreamRead::Slice),
+        410 => serde_json::from_slice(&reply.body)
+            .ok()
+            .map(StreamRead::Expired),
+        _ => None,
+    }
+}
--- /dev/null
+++ b/src/logs.rs
@@ -0,0 +1,63 @@
+//! The logger thread, so that a slow terminal cannot hold up the control thread.
+
+use std::io;
+use std::thread;
+
+use crossbeam_channel::Sender;
+use simplelog::ColorChoice;
+use simplelog::ConfigBuilder;
+use simplelog::LevelFilter;
+use simplelog::TermLogger;
+use simplelog::TerminalMode;
+
+use mustardpath_core::effect::LogPart;
+use mustardpath_core::effect::NoteLevel;
+
+/// Lines that wait for the logger.
+const LINE_QUEUE: usize = 1_024;
+
+/// One log line before it is formatted.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LogLine {
+    /// The part that writes it.
+    pub part: LogPart,
+    /// How important it is.
+    pub level: NoteLevel,
+    /// One short sentence.
+    pub line: String,
+}
+
+/// Sends log lines to standard error. A second call in one process changes nothing.
+pub fn init(level: LevelFilter) {
+    let config = ConfigBuilder::new()
+        .add_filter_allow_str("mustardpath")
+        .set_target_level(LevelFilter::Off)
+        .set_thread_level(LevelFilter::Off)
+        .set_location_level(LevelFilter::Off)
+        .build();
+    // Only a second logger in the process is an error here, and the first one stays in use.
+    let _ = TermLogger::init(level, config, TerminalMode::Stderr, ColorChoice::Never);
+}
+
+/// Starts the logger thread for one daemon. It ends when all senders are gone.
+///
+/// # Errors
+///
+/// Returns the system's error when the thread cannot be started.
+pub fn spawn(daemon: String) -> io::Result<Sender<LogLine>> {
+    let (sender, lines) = crossbeam_channel::bounded::<LogLine>(LINE_QUEUE);
+    thread::Builder::new().name("logs".into()).spawn(move || {
+        for line in lines {
+            write_line(&daemon, &line);
+        }
+    })?;
+    Ok(sender)
+}
+
+fn write_line(daemon: &str, line: &LogLine) {
+    let prefix = line.part.prefix();
+    match line.level {
+        NoteLevel::Info => log::info!("{daemon} {prefix} {}", line.line),
+        NoteLevel::Warn => log::warn!("{daemon} {prefix} {}", line.line),
+    }
+}
--- /dev/null
+++ b/src/metrics.rs
@@ -0,0 +1,64 @@
+//! Counters and gauges for a statsd server over UDP.
+
+use std::io;
+use std::net::UdpSocket;
+
+use cadence::Counted;
+use cadence::Gauged;
+use cadence::MetricError;
+use cadence::StatsdClient;
+use cadence::UdpMetricSink;
+
+use mustardpath_core::effect::MetricName;
+
+/// Sends metrics, or drops them when no server is set.
+pub struct MetricSink {
+    client: Option<StatsdClient>,
+}
+
+impl MetricSink {
+    /// Creates a sink. Datagrams that the socket has no room for are dropped.
+    ///
+    /// # Errors
+    ///
+    /// Returns the system's error when the socket or the address cannot be used.
+    pub fn open(address: Option<&str>) -> io::Result<Self> {
+        let Some(address) = address else {
+            return Ok(Self { client: None });
+        };
+        let socket = UdpSocket::bind("0.0.0.0:0")?;
+        socket.set_nonblocking(true)?;
+        let sink = UdpMetricSink::from(address, socket).map_err(io::Error::other)?;
+        // The control thread sends a metric with each event; an error to each would help nobody.
+        let client = StatsdClient::builder("mustardpath", sink)
+            .with_error_handler(|_: MetricError| {})
+            .build();
+        Ok(Self {
+            client: Some(client),
+        })
+    }
+
+    /// Adds to a counter or sets a gauge.
+    pub fn count(&self, metric: MetricName, amount: u64) {
+        let Some(client) = &self.client else {
+            return;
+        };
+        let name = metric_name(metric);
+        match metric {
+            MetricName::JobsWaiting
+            | MetricName::JobsPlaced
+            | MetricName::RequestsOpen
+            | MetricName::LogAge => client.gauge_with_tags(&name, amount).send(),
+            _ => client
+                .count_with_tags(&name, i64::try_from(amount).unwrap_or(i64::MAX))
+                .send(),
+        }
+    }
+}
+
+fn metric_name(metric: MetricName) -> String {
+    match serde_json::to_value(metric) {
+        Ok(serde_json::Value::String(name)) => name,
+        _ => String::from("unnamed"),
+    }
+}
--- /dev/null
+++ b/src/peer_service.rs
@@ -0,0 +1,144 @@
+//! The interface that a daemon serves to its peers.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+
+use capnp::Error;
+use capnp::capability::Rc;
+
+use crate::control::EventSender;
+use crate::peer_capnp::peer;
+use crate::peer_capnp::state_piece;
+use crate::peer_message;
+use mustardpath_core::effect::PeerMessage;
+use mustardpath_core::event::EncodedSnapshot;
+use mustardpath_core::event::EventInput;
+use mustardpath_core::ids::DaemonName;
+use mustardpath_core::ids::LogOffset;
+
+/// Bytes of a ledger that is being received. Half of the 128 MB that a daemon may use.
+const STATE_BYTES: usize = 64 << 20;
+
+/// A ledger that is being received over one connection.
+struct StateTransfer {
+    transfer: u64,
+    pieces: u32,
+    bytes: Vec<u8>,
+}
+
+/// Serves one peer's connection.
+pub struct PeerService {
+    events: EventSender,
+    transfers: RefCell<HashMap<DaemonName, StateTransfer>>,
+}
+
+impl PeerService {
+    /// Creates the service of one connection.
+    #[must_use]
+    pub fn new(events: EventSender) -> Self {
+        let transfers = RefCell::default();
+        Self { events, transfers }
+    }
+
+    async fn pass_on(&self, from: DaemonName, message: PeerMessage) -> Result<(), Error> {
+        self.events
+            .send(EventInput::Peer { from, message })
+            .await
+            .map_err(|_| Error::disconnected("the daemon has stopped".into()))
+    }
+
+    /// Adds a piece and returns the ledger when it is whole.
+    fn add_piece(&self, piece: state_piece::Reader<'_>) -> Result<Option<PeerState>, Error> {
+        let from = DaemonName::from(piece.get_daemon()?.to_str()?);
+        let bytes = piece.get_bytes()?;
+        let mut transfers = self.transfers.borrow_mut();
+        if piece.get_index() == 0 {
+            // One connection carries the ledger of one peer; an older, unfinished one is dropped.
+            transfers.clear();
+            let transfer = StateTransfer {
+                transfer: piece.get_transfer(),
+                pieces: 0,
+                bytes: Vec::new(),
+            };
+            transfers.insert(from.clone(), transfer);
+        }
+        let transfer = transfers
+            .get_mut(&from)
+            .filter(|transfer| transfer.transfer == piece.get_transfer())
+            .filter(|transfer| transfer.pieces == piece.get_index())
+            .ok_or_else(|| Error::failed("the piece does not follow the last one".into()))?;
+        if transfer.bytes.len() + bytes.len() > STATE_BYTES {
+            transfers.clear();
+            return Err(Error::overloaded("the ledger is too large".into()));
+        }
+        transfer.bytes.extend_from_slice(bytes);
+        transfer.pieces += 1;
+        if transfer.pieces < piece.get_count() {
+            return Ok(None);
+        }
+        let next = LogOffset(piece.get_next());
+        Ok(transfers.remove(&from).map(|transfer| PeerState {
+            from,
+            snapshot: EncodedSnapshot {
+                next,
+                bytes: transfer.bytes,
+            },
+        }))
+    }
+}
+
+struct PeerState {
+    from: DaemonName,
+    snapshot: EncodedSnapshot,
+}
+
+impl peer::Server for PeerService {
+    async fn heartbeat(
+        self: Rc<Self>,
+        params: peer::HeartbeatParams,
+        _: peer::HeartbeatResults,
+    ) -> Result<(), Error> {
+        let (from, heartbeat) = peer_message::read_heartbeat(params.get()?.get_heartbeat()?)?;
+        self.pass_on(from, PeerMessage::Heartbeat(heartbeat)).await
+    }
+
+    async fn reports(
+        self: Rc<Self>,
+        params: peer::ReportsParams,
+        _: peer::ReportsResults,
+    ) -> Result<(), Error> {
+        let params = params.get()?;
+        let from = DaemonName::from(params.get_daemon()?.to_str()?);
+        let reports: Result<Vec<_>, Error> = params
+            .get_reports()?
+            .iter()
+            .map(peer_message::read_tasks)
+            .collect();
+        let reports = reports?;
+        self.pass_on(from, PeerMessage::Reports { reports }).await
+    }
+
+    async fn state_wanted(
+        self: Rc<Self>,
+        params: peer::StateWantedParams,
+        _: peer::StateWantedResults,
+    ) -> Result<(), Error> {
+        let from = DaemonName::from(params.get()?.get_daemon()?.to_str()?);
+        self.pass_on(from, PeerMessage::StateWanted).await
+    }
+
+    async fn state(
+        self: Rc<Self>,
+        params: peer::StateParams,
+        _: peer::StateResults,
+    ) -> Result<(), Error> {
+        let whole = self.add_piece(params.get()?.get_piece()?)?;
+        match whole {
+            Some(state) => {
+                let message = PeerMessage::State(state.snapshot);
+                self.pass_on(state.from, message).await
+            }
+            None => Ok(()),
+        }
+    }
+}
--- /dev/null
+++ b/src/peers.rs
@@ -0,0 +1,189 @@
+//! Calls between daemons over capnp-rpc, on one thread of their own.
+
+use std::collections::HashMap;
+use std::io;
+use std::net::TcpListener;
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+use capnp_rpc::RpcSystem;
+use capnp_rpc::rpc_twoparty_capnp::Side;
+use capnp_rpc::twoparty::VatNetwork;
+use futures::AsyncReadExt;
+use tokio::net::TcpStream;
+use tokio::sync::Semaphore;
+use tokio::sync::mpsc;
+use tokio::task;
+use tokio::task::LocalSet;
+use tokio::time;
+use tokio_util::compat::TokioAsyncReadCompatExt;
+
+use crate::control::EventSender;
+use crate::peer_capnp::peer;
+use crate::peer_message;
+use crate::peer_service::PeerService;
+use mustardpath_core::effect::PeerMessage;
+use mustardpath_core::ids::DaemonName;
+
+/// Longest time of a call or of setting up a connection.
+const CALL_TIME: Duration = Duration::from_secs(1);
+
+/// Messages that wait for the thread.
+const MESSAGE_QUEUE: usize = 256;
+
+/// Messages that wait for one peer. Heartbeats come every 2 s, so more would be out of date.
+const PEER_QUEUE: usize = 16;
+
+/// Peers with a connection. A deployment has 8 to 9 daemons, some of them being replaced.
+const PEER_LIMIT: usize = 64;
+
+/// Connections taken from peers at once.
+const INCOMING_LIMIT: usize = 64;
+
+/// A message to another daemon.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PeerJob {
+    /// The daemon.
+    pub to: DaemonName,
+    /// IP number and port of its peer interface.
+    pub address: String,
+    /// The message.
+    pub message: PeerMessage,
+}
+
+struct PeerLink {
+    address: String,
+    messages: mpsc::Sender<PeerMessage>,
+}
+
+/// Starts the thread. It ends when all senders are gone.
+///
+/// # Errors
+///
+/// Returns the system's error when the socket or the thread cannot be set up.
+pub fn spawn(
+    me: DaemonName,
+    listener: TcpListener,
+    events: EventSender,
+) -> io::Result<mpsc::Sender<PeerJob>> {
+    listener.set_nonblocking(true)?;
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
+    let (sender, jobs) = mpsc::channel(MESSAGE_QUEUE);
+    thread::Builder::new().name("peers".into()).spawn(move || {
+        let tasks = LocalSet::new();
+        tasks.spawn_local(async move {
+            if let Err(error) = serve(listener, events).await {
+                log::warn!("member: the peer interface has stopped: {error}");
+            }
+        });
+        tasks.block_on(&runtime, deliver(me, jobs));
+    })?;
+    Ok(sender)
+}
+
+async fn serve(listener: TcpListener, events: EventSender) -> io::Result<()> {
+    let listener = tokio::net::TcpListener::from_std(listener)?;
+    let slots = Arc::new(Semaphore::new(INCOMING_LIMIT));
+    loop {
+        let Ok(slot) = Arc::clone(&slots).acquire_owned().await else {
+            return Ok(());
+        };
+        let (stream, _) = match listener.accept().await {
+            Ok(accepted) => accepted,
+            Err(error) => {
+                // Out of file handles, for example; accepting at once again would spin.
+                log::warn!("member: a peer's connection is not accepted: {error}");
+                time::sleep(CALL_TIME).await;
+                continue;
+            }
+        };
+        let service = PeerService::new(events.clone());
+        let client: peer::Client = capnp_rpc::new_client(service);
+        let system = RpcSystem::new(network(stream, Side::Server), Some(client.client));
+        task::spawn_local(async move {
+            // The error says that the peer has closed its connection, which is no fault here.
+            let _ = system.await;
+            drop(slot);
+        });
+    }
+}
+
+fn network(stream: TcpStream, side: Side) -> Box<VatNetwork<impl futures::AsyncRead + Unpin>> {
+    // Small messages, of which the next may depend on the last one.
+    let _ = stream.set_nodelay(true);
+    let (reader, writer) = TokioAsyncReadCompatExt::compat(stream).split();
+    Box::new(VatNetwork::new(
+        futures::io::BufReader::new(reader),
+        futures::io::BufWriter::new(writer),
+        side,
+        Default::default(),
+    ))
+}
+
+/// Hands each message to the task of its peer.
+async fn deliver(me: DaemonName, mut jobs: mpsc::Receiver<PeerJob>) {
+    let mut links: HashMap<DaemonName, PeerLink> = HashMap::new();
+    while let Some(job) = jobs.recv().await {
+        let known = links
+            .get(&job.to)
+            .is_some_and(|link| link.address == job.address && !link.messages.is_closed());
+        if !known {
+            links.retain(|_, link| !link.messages.is_closed());
+            if links.len() >= PEER_LIMIT {
+                log::warn!("member: no connection to {}: limit reached", job.to);
+                continue;
+            }
+            links.insert(job.to.clone(), open_link(&me, &job.address));
+        }
+        if let Some(link) = links.get(&job.to) {
+            // Messages may be lost; a peer that does not keep up gets the later ones.
+            let _ = link.messages.try_send(job.message);
+        }
+    }
+}
+
+fn open_link(me: &DaemonName, address: &str) -> PeerLink {
+    let (messages, queue) = mpsc::channel(PEER_QUEUE);
+    task::spawn_local(run_link(me.clone(), address.to_string(), queue));
+    PeerLink {
+        address: address.to_string(),
+        messages,
+    }
+}
+
+/// Sends the messages of one peer in order. A failed call costs its message and the connection,
+/// and the next message opens a new one.
+async fn run_link(me: DaemonName, address: String, mut queue: mpsc::Receiver<PeerMessage>) {
+    let mut connection: Option<peer::Client> = None;
+    while let Ok(Some(message)) = time::timeout(LINK_IDLE, queue.recv()).await {
+        if connection.is_none() {
+            connection = connect(&address).await;
+        }
+        let Some(client) = &connection else {
+            continue;
+        };
+        if !peer_message::send(client, &me, &message, CALL_TIME).await {
+            connection = None;
+        }
+    }
+}
+
+/// Silence after which the connection to a peer is closed. A live peer gets heartbeats each 2 s.
+const LINK_IDLE: Duration = Duration::from_secs(60);
+
+async fn connect(address: &str) -> Option<peer::Client> {
+    let stream = time::timeout(CALL_TIME, TcpStream::connect(address))
+        .await
+        .ok()?
+        .ok()?;
+    let mut system = RpcSystem::new(network(stream, Side::Client), None);
+    let client = system.bootstrap(Side::Server);
+    task::spawn_local(async move {
+        // The calls over this connection report its failure.
+        let _ = system.await;
+    });
+    Some(client)
+}
