--- a/schema/peer.capnp
+++ b/schema/peer.capnp
@@ -18,6 +18,8 @@
   draining @9 :Bool;
   holds @10 :List(DomainHold);
   silentWorkers @11 :List(Text);
+  peerAddress @12 :Text;
+  # IP number and port of the sender's peer interface.
 }
 
 struct DomainHold {
@@ -35,11 +37,10 @@
   daemon @0 :Text;
   transfer @1 :UInt64;
   # Number of the transfer, chosen by the sender; pieces of different transfers do not mix.
-  next @2 :UInt64;
-  # The log offset that reading continues from.
-  index @3 :UInt32;
-  count @4 :UInt32;
-  bytes @5 :Data;
+  index @2 :UInt32;
+  count @3 :UInt32;
+  bytes @4 :Data;
+  # Part of the ledger as JSON text.
 }
 
 interface Peer {
--- a/src/bin/mustardpathd.rs
+++ b/src/bin/mustardpathd.rs
@@ -24,7 +24,7 @@
 fn main() -> io::Result<()> {
     let options: DaemonOptions = argh::from_env();
     logs::init(LevelFilter::Info);
-    let settings = settings_file::read(&options.settings)?;
+    let settings = settings_file::read_settings(&options.settings)?;
     let daemon = RunningDaemon::start(settings)?;
     signals::spawn(daemon.events())?;
     daemon.wait();
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -139,6 +139,7 @@
     let piece = settings.limits.snapshot_piece.0;
     let log = LogContext {
         events: context.events.clone(),
+        writer: context.writer.clone(),
         address: settings.log_address.clone(),
         clock,
         append_time: APPEND_TIME,
--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -54,7 +54,7 @@
             ControlEffect::Append { batch, records } => {
                 self.write(WriteJob::Append { batch, records })
             }
-            ControlEffect::WriteSnapshot { snapshot } => self.write(WriteJob::Snapshot(snapshot)),
+            ControlEffect::WriteSnapshot { ledger } => self.write(WriteJob::Snapshot(ledger)),
             ControlEffect::ReadLog { from, wait } => self.read(ReadJob::Records { from, wait }),
             ControlEffect::ReadSnapshot => self.read(ReadJob::Snapshot),
             ControlEffect::CallWorker {
@@ -139,7 +139,7 @@
                 outcome: ReadOutcome::Failed,
             },
             ReadJob::Snapshot => EventInput::SnapshotRead {
-                snapshot: None,
+                ledger: None,
                 reachable: false,
             },
         })
--- a/src/http_client.rs
+++ b/src/http_client.rs
@@ -17,8 +17,11 @@
 /// Age at which an idle connection is closed.
 const IDLE_AGE: Duration = Duration::from_secs(10);
 
-/// Idle connections of one thread.
-const IDLE_CONNECTIONS: usize = 16;
+/// Idle connections of one pool of threads.
+const IDLE_CONNECTIONS: usize = 256;
+
+/// Idle connections to one address. A worker takes 64 connections from all daemons together.
+const IDLE_PER_ADDRESS: usize = 2;
 
 /// Why there is no response.
 #[derive(Debug)]
@@ -54,7 +57,9 @@
     pub timeout: Duration,
 }
 
-/// The connections of one thread.
+/// The connections of a pool of threads. Clones share idle connections, and each thread learns by
+/// itself which addresses fail.
+#[derive(Clone)]
 pub struct HttpClient {
     pooled: Agent,
     fresh: Agent,
@@ -123,7 +128,7 @@
         .max_redirects_will_error(false)
         .proxy(None)
         .max_idle_connections(idle)
-        .max_idle_connections_per_host(idle.min(1))
+        .max_idle_connections_per_host(idle.min(IDLE_PER_ADDRESS))
         .max_idle_age(IDLE_AGE)
         .build()
         .new_agent()
--- a/src/log_client.rs
+++ b/src/log_client.rs
@@ -15,14 +15,16 @@
 use crate::http_client::HttpClient;
 use crate::http_client::HttpReply;
 use mustardpath_core::event::AppendOutcome;
-use mustardpath_core::event::EncodedSnapshot;
 use mustardpath_core::event::EventInput;
 use mustardpath_core::event::ReadOutcome;
 use mustardpath_core::ids::BatchId;
 use mustardpath_core::ids::LogOffset;
+use mustardpath_core::ids::WriterId;
+use mustardpath_core::ledger::LedgerState;
 use mustardpath_core::record;
 use mustardpath_core::record::LogRecord;
 use mustardpath_core::record::StoredRecord;
+use mustardpath_core::snapshot;
 use mustardpath_core::units::TimeSpan;
 
 /// Jobs that wait for one of the threads. The reducer has at most one append, one read and one
@@ -73,7 +75,7 @@
         records: Vec<LogRecord>,
     },
     /// Writes a snapshot in pieces.
-    Snapshot(EncodedSnapshot),
+    Snapshot(Box<LedgerState>),
 }
 
 /// One record in an answer of the log.
@@ -106,6 +108,8 @@
 pub struct LogContext {
     /// Takes the outcomes.
     pub events: EventSender,
+    /// The process, which signs snapshot pieces.
+    pub writer: WriterId,
     /// IP number and port of the log.
     pub address: String,
     /// The control thread's clock.
@@ -151,7 +155,7 @@
             let outcome = connection.append(CONTROL_STREAM, texts);
             EventInput::AppendDone { batch, outcome }
         }
-        WriteJob::Snapshot(_) => EventInput::SnapshotWritten { stored: false },
+        WriteJob::Snapshot(ledger) => connection.write_snapshot(&ledger),
     })
 }
 
@@ -228,14 +232,43 @@
         }
     }
 
-    /// Tells whether the log answers. Snapshots wait for their format in the core crate.
+    /// Reads the whole snapshot stream; it keeps few snapshots, as old pieces leave it.
     fn read_snapshot(&mut self) -> EventInput {
-        let answer = self.read(SNAPSHOT_STREAM, 0, READ_PIECES, TimeSpan(0));
+        let mut pieces = Vec::new();
+        let mut from = 0;
+        let reachable = loop {
+            match self.read(SNAPSHOT_STREAM, from, READ_PIECES, TimeSpan(0)) {
+                StreamRead::Failed => break false,
+                StreamRead::Expired(expired) if expired.oldest > from => from = expired.oldest,
+                StreamRead::Expired(_) => break false,
+                StreamRead::Slice(slice) => {
+                    let texts = slice.records.iter().map(|record| record.text.as_bytes());
+                    pieces.extend(texts.filter_map(snapshot::decode_piece));
+                    from += slice.records.len() as u64;
+                    if slice.records.is_empty() || from >= slice.tail {
+                        break true;
+                    }
+                }
+            }
+        };
+        let newest = if reachable {
+            snapshot::assemble(pieces)
+        } else {
+            None
+        };
         EventInput::SnapshotRead {
-            snapshot: None,
-            reachable: !matches!(answer, StreamRead::Failed),
+            ledger: newest.map(Box::new),
+            reachable,
         }
     }
+
+    fn write_snapshot(&mut self, ledger: &LedgerState) -> EventInput {
+        let pieces = snapshot::encode(ledger, &self.context.writer, self.context.piece_bytes);
+        let stored = pieces
+            .into_iter()
+            .all(|piece| self.append(SNAPSHOT_STREAM, vec![piece]) == AppendOutcome::Stored);
+        EventInput::SnapshotWritten { stored }
+    }
 }
 
 fn decode_record(stream: &StreamRecord) -> StoredRecord {
--- a/src/outbound.rs
+++ b/src/outbound.rs
@@ -149,13 +149,14 @@
     run: fn(&OutboundContext, &mut HttpClient, J) -> Option<EventInput>,
 ) -> io::Result<Sender<J>> {
     let (sender, jobs): (Sender<J>, Receiver<J>) = crossbeam_channel::bounded(queue);
+    let connections = HttpClient::new(REPLY_BYTES);
     for number in 0..context.settings.limits.call_threads {
         let context = context.clone();
         let jobs = jobs.clone();
+        let mut client = connections.clone();
         thread::Builder::new()
             .name(format!("{name}-{number}"))
             .spawn(move || {
-                let mut client = HttpClient::new(REPLY_BYTES);
                 for job in jobs {
                     if let Some(input) = run(&context, &mut client, job) {
                         // The control thread has ended when the channel is closed.
--- a/src/peer_capnp.rs
+++ b/src/peer_capnp.rs
@@ -146,11 +146,19 @@
         pub fn has_silent_workers(&self) -> bool {
             !self.reader.get_pointer_field(7).is_null()
         }
+        #[inline]
+        pub fn get_peer_address(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(8), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_peer_address(&self) -> bool {
+            !self.reader.get_pointer_field(8).is_null()
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 4, pointers: 8 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 4, pointers: 9 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -360,6 +368,22 @@
         pub fn has_silent_workers(&self) -> bool {
             !self.builder.is_pointer_field_null(7)
         }
+        #[inline]
+        pub fn get_peer_address(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(8), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_peer_address(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(8), value, false).unwrap()
+        }
+        #[inline]
+        pub fn init_peer_address(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.get_pointer_field(8).init_text(size)
+        }
+        #[inline]
+        pub fn has_peer_address(&self) -> bool {
+            !self.builder.is_pointer_field_null(8)
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -371,108 +395,115 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 218] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 234] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(208, 182, 190, 42, 168, 119, 43, 196),
             ::capnp::word(11, 0, 0, 0, 1, 0, 4, 0),
             ::capnp::word(96, 126, 146, 181, 193, 243, 168, 212),
-            ::capnp::word(8, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 170, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 167, 2, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 223, 2, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 72, 101, 97, 114, 116),
             ::capnp::word(98, 101, 97, 116, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(48, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(52, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(65, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(93, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(60, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(72, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(88, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(100, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(69, 1, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(97, 1, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(68, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(80, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(96, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(108, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(77, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(105, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(72, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(84, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(100, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(112, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(81, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(109, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(76, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(88, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(104, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(116, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(85, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(113, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(80, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(92, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(108, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(120, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(89, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(117, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(84, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(96, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(112, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(124, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(93, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(121, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(88, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(100, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(116, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(128, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(97, 1, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(125, 1, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(96, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(124, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(124, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(152, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(121, 1, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(149, 1, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(120, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(148, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(148, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(176, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(9, 0, 0, 0, 192, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(145, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(173, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(144, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(156, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(172, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(184, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(10, 0, 0, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(153, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(181, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(148, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(176, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(176, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(204, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(11, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 11, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(173, 1, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(201, 1, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(172, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(200, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(200, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(228, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(12, 0, 0, 0, 8, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 12, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(225, 1, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(224, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(236, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(100, 97, 101, 109, 111, 110, 0, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -590,6 +621,15 @@
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 101, 101, 114, 65, 100, 100, 114),
+            ::capnp::word(101, 115, 115, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -605,6 +645,7 @@
                 9 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 10 => <::capnp::struct_list::Owned<crate::peer_capnp::domain_hold::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 11 => <::capnp::text_list::Owned as ::capnp::introspect::Introspect>::introspect(),
+                12 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -618,9 +659,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11,12];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,6,0,4,9,7,10,1,8,5,3,11];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,6,0,4,9,7,10,1,8,5,12,3,11];
         pub(crate) const TYPE_ID: u64 = 0xc42b_77a8_2abe_b6d0;
     }
 }
@@ -1181,16 +1222,12 @@
             self.reader.get_data_field::<u64>(0)
         }
         #[inline]
-        pub fn get_next(self) -> u64 {
-            self.reader.get_data_field::<u64>(1)
-        }
-        #[inline]
         pub fn get_index(self) -> u32 {
-            self.reader.get_data_field::<u32>(4)
+            self.reader.get_data_field::<u32>(2)
         }
         #[inline]
         pub fn get_count(self) -> u32 {
-            self.reader.get_data_field::<u32>(5)
+            self.reader.get_data_field::<u32>(3)
         }
         #[inline]
         pub fn get_bytes(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
@@ -1204,7 +1241,7 @@
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 2 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 2 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -1279,28 +1316,20 @@
             self.builder.set_data_field::<u64>(0, value);
         }
         #[inline]
-        pub fn get_next(self) -> u64 {
-            self.builder.get_data_field::<u64>(1)
-        }
-        #[inline]
-        pub fn set_next(&mut self, value: u64)  {
-            self.builder.set_data_field::<u64>(1, value);
-        }
-        #[inline]
         pub fn get_index(self) -> u32 {
-            self.builder.get_data_field::<u32>(4)
+            self.builder.get_data_field::<u32>(2)
         }
         #[inline]
         pub fn set_index(&mut self, value: u32)  {
-            self.builder.set_data_field::<u32>(4, value);
+            self.builder.set_data_field::<u32>(2, value);
         }
         #[inline]
         pub fn get_count(self) -> u32 {
-            self.builder.get_data_field::<u32>(5)
+            self.builder.get_data_field::<u32>(3)
         }
         #[inline]
         pub fn set_count(&mut self, value: u32)  {
-            self.builder.set_data_field::<u32>(5, value);
+            self.builder.set_data_field::<u32>(3, value);
         }
         #[inline]
         pub fn get_bytes(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
@@ -1329,66 +1358,59 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 108] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 93] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(167, 92, 37, 187, 82, 68, 121, 201),
-            ::capnp::word(11, 0, 0, 0, 1, 0, 3, 0),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 2, 0),
             ::capnp::word(96, 126, 146, 181, 193, 243, 168, 212),
             ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 178, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 87, 1, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 31, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 83, 116, 97, 116, 101),
             ::capnp::word(80, 105, 101, 99, 101, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(24, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(20, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(153, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(125, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(148, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(160, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(120, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(132, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(157, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(129, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(156, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(168, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(128, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(140, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(165, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(137, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(160, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(172, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(3, 0, 0, 0, 4, 0, 0, 0),
+            ::capnp::word(132, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(144, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(169, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(141, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(164, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(176, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(4, 0, 0, 0, 5, 0, 0, 0),
+            ::capnp::word(136, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(148, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(173, 0, 0, 0, 50, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(168, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(180, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(5, 0, 0, 0, 1, 0, 0, 0),
-            ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(177, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(145, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(172, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(184, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(140, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(152, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(100, 97, 101, 109, 111, 110, 0, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -1406,14 +1428,6 @@
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(110, 101, 120, 116, 0, 0, 0, 0),
-            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(105, 110, 100, 101, 120, 0, 0, 0),
             ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -1443,10 +1457,9 @@
             match index {
                 0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                 1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                2 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 3 => <u32 as ::capnp::introspect::Introspect>::introspect(),
-                4 => <u32 as ::capnp::introspect::Introspect>::introspect(),
-                5 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
+                4 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -1460,9 +1473,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[5,4,0,3,2,1];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[4,3,0,2,1];
         pub(crate) const TYPE_ID: u64 = 0xc979_4452_bb25_5ca7;
     }
 }
--- a/src/peer_message.rs
+++ b/src/peer_message.rs
@@ -12,13 +12,13 @@
 use mustardpath_core::effect::PeerHeartbeat;
 use mustardpath_core::effect::PeerMessage;
 use mustardpath_core::effect::WorkerTasks;
-use mustardpath_core::event::EncodedSnapshot;
 use mustardpath_core::ids::ConfigVersion;
 use mustardpath_core::ids::DaemonName;
 use mustardpath_core::ids::DomainName;
 use mustardpath_core::ids::LogOffset;
 use mustardpath_core::ids::RegionName;
 use mustardpath_core::ids::WorkerName;
+use mustardpath_core::ledger::LedgerState;
 
 /// Bytes of one piece of a ledger, small enough to arrive within a call's time at 30 Mbit/s.
 const PIECE_BYTES: usize = 256 << 10;
@@ -51,7 +51,7 @@
             request.get().set_daemon(me.as_str());
             is_taken(request.send().promise, timeout).await
         }
-        PeerMessage::State(snapshot) => send_state(client, me, snapshot, timeout).await,
+        PeerMessage::State { ledger } => send_state(client, me, ledger, timeout).await,
     }
 }
 
@@ -66,18 +66,20 @@
 async fn send_state(
     client: &peer::Client,
     me: &DaemonName,
-    snapshot: &EncodedSnapshot,
+    ledger: &LedgerState,
     timeout: Duration,
 ) -> bool {
+    let Ok(text) = serde_json::to_vec(ledger) else {
+        return false;
+    };
     let transfer = fastrand::u64(..);
-    let pieces: Vec<&[u8]> = snapshot.bytes.chunks(PIECE_BYTES).collect();
+    let pieces: Vec<&[u8]> = text.chunks(PIECE_BYTES).collect();
     let count = u32::try_from(pieces.len()).unwrap_or(u32::MAX);
     for (index, bytes) in (0..count).zip(pieces) {
         let mut request = client.state_request();
         let mut piece = request.get().init_piece();
         piece.set_daemon(me.as_str());
         piece.set_transfer(transfer);
-        piece.set_next(snapshot.next.0);
         piece.set_index(index);
         piece.set_count(count);
         piece.set_bytes(bytes);
@@ -96,6 +98,7 @@
     target.set_daemon(me.as_str());
     target.set_incarnation(heartbeat.incarnation);
     target.set_address(heartbeat.address.as_str());
+    target.set_peer_address(heartbeat.peer_address.as_str());
     target.set_region(heartbeat.region.as_str());
     target.set_domain(heartbeat.domain.as_str());
     target.set_next(heartbeat.next.0);
@@ -146,6 +149,7 @@
     let heartbeat = PeerHeartbeat {
         incarnation: source.get_incarnation(),
         address: source.get_address()?.to_string()?,
+        peer_address: source.get_peer_address()?.to_string()?,
         region: RegionName::from(source.get_region()?.to_str()?),
         domain: DomainName::from(source.get_domain()?.to_str()?),
         next: LogOffset(source.get_next()),
--- a/src/peer_service.rs
+++ b/src/peer_service.rs
@@ -11,10 +11,9 @@
 use crate::peer_capnp::state_piece;
 use crate::peer_message;
 use mustardpath_core::effect::PeerMessage;
-use mustardpath_core::event::EncodedSnapshot;
 use mustardpath_core::event::EventInput;
 use mustardpath_core::ids::DaemonName;
-use mustardpath_core::ids::LogOffset;
+use mustardpath_core::snapshot;
 
 /// Bytes of a ledger that is being received. Half of the 128 MB that a daemon may use.
 const STATE_BYTES: usize = 64 << 20;
@@ -48,7 +47,10 @@
     }
 
     /// Adds a piece and returns the ledger when it is whole.
-    fn add_piece(&self, piece: state_piece::Reader<'_>) -> Result<Option<PeerState>, Error> {
+    fn add_piece(
+        &self,
+        piece: state_piece::Reader<'_>,
+    ) -> Result<Option<(DaemonName, PeerMessage)>, Error> {
         let from = DaemonName::from(piece.get_daemon()?.to_str()?);
         let bytes = piece.get_bytes()?;
         let mut transfers = self.transfers.borrow_mut();
@@ -76,22 +78,16 @@
         if transfer.pieces < piece.get_count() {
             return Ok(None);
         }
-        let next = LogOffset(piece.get_next());
-        Ok(transfers.remove(&from).map(|transfer| PeerState {
-            from,
-            snapshot: EncodedSnapshot {
-                next,
-                bytes: transfer.bytes,
-            },
-        }))
+        let whole = transfers.remove(&from);
+        let ledger = whole
+            .and_then(|transfer| String::from_utf8(transfer.bytes).ok())
+            .and_then(|text| snapshot::decode(&text))
+            .ok_or_else(|| Error::failed("the pieces are no ledger".into()))?;
+        let ledger = Box::new(ledger);
+        Ok(Some((from, PeerMessage::State { ledger })))
     }
 }
 
-struct PeerState {
-    from: DaemonName,
-    snapshot: EncodedSnapshot,
-}
-
 impl peer::Server for PeerService {
     async fn heartbeat(
         self: Rc<Self>,
@@ -134,10 +130,7 @@
     ) -> Result<(), Error> {
         let whole = self.add_piece(params.get()?.get_piece()?)?;
         match whole {
-            Some(state) => {
-                let message = PeerMessage::State(state.snapshot);
-                self.pass_on(state.from, message).await
-            }
+            Some((from, message)) => self.pass_on(from, message).await,
             None => Ok(()),
         }
     }
--- a/src/settings_file.rs
+++ b/src/settings_file.rs
@@ -6,16 +6,38 @@
 
 use serde::de::DeserializeOwned;
 
+use mustardpath_core::settings;
+use mustardpath_core::settings::DaemonSettings;
+
+/// Reads and checks the settings of a daemon.
+///
+/// # Errors
+///
+/// Returns all mistakes of the file, one a line.
+pub fn read_settings(path: &Path) -> io::Result<DaemonSettings> {
+    let text = read_text(path)?;
+    settings::read(&path.display().to_string(), &text).map_err(|problems| {
+        let lines: Vec<String> = problems.iter().map(ToString::to_string).collect();
+        io::Error::new(io::ErrorKind::InvalidData, lines.join("\n"))
+    })
+}
+
 /// Reads one file.
 ///
 /// # Errors
 ///
 /// Returns a message with the file's name when it cannot be read or does not have the form.
 pub fn read<T: DeserializeOwned>(path: &Path) -> io::Result<T> {
-    let name = path.display();
-    let text = fs::read_to_string(path)
-        .map_err(|error| io::Error::new(error.kind(), format!("{name}: {error}")))?;
-    parse(&text).map_err(|error| io::Error::other(format!("{name}: {error}")))
+    let text = read_text(path)?;
+    parse(&text).map_err(|error| {
+        let message = format!("{}: {error}", path.display());
+        io::Error::new(io::ErrorKind::InvalidData, message)
+    })
+}
+
+fn read_text(path: &Path) -> io::Result<String> {
+    fs::read_to_string(path)
+        .map_err(|error| io::Error::new(error.kind(), format!("{}: {error}", path.display())))
 }
 
 /// Parses JSON with comments.
