Put the stand-ins behind HTTP

Cause: the daemon needs a log, a VM list and workers that it reaches over sockets.

Change: one thread owns the models and their checker; HTTP threads encode and decode. `local_cluster` starts a deployment with its daemons in one process.

Ruled out: one server for all workers on many loopback numbers, which needs a socket open to other interfaces.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,11 +6,13 @@
 pub mod callers;
 pub mod control;
 pub mod daemon;
+pub mod deployment;
 pub mod digest;
 pub mod dispatch;
 pub mod exchange;
 pub mod gate;
 pub mod http_client;
+pub mod local_cluster;
 pub mod log_client;
 pub mod logs;
 pub mod metrics;
@@ -22,6 +24,11 @@
 pub mod route_table;
 pub mod settings_file;
 pub mod signals;
+pub mod standin_http;
+pub mod standin_log;
+pub mod standin_platform;
+pub mod standin_vms;
+pub mod standin_worker;
 
 // Generated from `schema/peer.capnp`; the generated code names itself by this path.
 #[allow(missing_docs, clippy::all, clippy::pedantic, rustdoc::all)]
--- /dev/null
+++ b/src/local_cluster.rs
@@ -0,0 +1,276 @@
+//! A whole deployment in one process over loopback, on the stand-ins.
+
+use std::io;
+use std::time::Duration;
+
+use serde_json::Value;
+
+use crate::daemon::RunningDaemon;
+use crate::deployment;
+use crate::deployment::DaemonPlan;
+use crate::deployment::DeploymentPlan;
+use crate::deployment::StandinAddresses;
+use crate::http_client::CallError;
+use crate::http_client::HttpCall;
+use crate::http_client::HttpClient;
+use crate::http_client::HttpReply;
+use crate::standin_platform::PlatformCall;
+use crate::standin_platform::PlatformSender;
+use crate::standin_platform::PlatformSwitch;
+use mustardpath_core::config::KeyDigest;
+use mustardpath_core::config::TeamFile;
+use mustardpath_core::effect::CallerAnswer;
+use mustardpath_core::ids::ConfigVersion;
+use mustardpath_core::ids::DaemonName;
+use mustardpath_core::settings::DaemonSettings;
+use mustardpath_core::settings::LimitSettings;
+use mustardpath_core::settings::TimingSettings;
+use mustardpath_core::worker::DaemonInfo;
+use mustardpath_core::worker::VmState;
+
+/// Largest answer that a caller takes, in bytes.
+const ANSWER_BYTES: u64 = 16 << 20;
+
+/// Time for one command of an operator.
+const OPERATOR_TIME: Duration = Duration::from_secs(35);
+
+/// The running deployment.
+pub struct LocalCluster {
+    /// Where the stand-ins listen.
+    pub addresses: StandinAddresses,
+    /// Takes calls to the stand-ins.
+    pub platform: PlatformSender,
+    /// The daemons that have not been stopped.
+    pub daemons: Vec<RunningDaemon>,
+    operator_key: String,
+}
+
+/// Timing and limits of the daemons.
+#[derive(Clone, Debug, Default)]
+pub struct ClusterTuning {
+    /// Spans of time.
+    pub timing: TimingSettings,
+    /// Bounds of queues, tables and sizes.
+    pub limits: LimitSettings,
+}
+
+impl LocalCluster {
+    /// Starts the stand-ins and all daemons of the plan.
+    ///
+    /// # Errors
+    ///
+    /// Returns the system's error when a socket or a thread cannot be set up.
+    pub fn start(plan: &DeploymentPlan, tuning: &ClusterTuning) -> io::Result<Self> {
+        let (platform, addresses) = deployment::start_standins(plan)?;
+        let mut cluster = Self {
+            addresses,
+            platform,
+            daemons: Vec::new(),
+            operator_key: random_key(),
+        };
+        for daemon in &plan.daemons {
+            cluster.start_daemon(daemon, tuning)?;
+        }
+        Ok(cluster)
+    }
+
+    /// Starts one daemon and adds it to the VM list.
+    ///
+    /// # Errors
+    ///
+    /// Returns the system's error when a socket or a thread cannot be set up.
+    pub fn start_daemon(&mut self, plan: &DaemonPlan, tuning: &ClusterTuning) -> io::Result<()> {
+        let daemon = RunningDaemon::start(DaemonSettings {
+            daemon: plan.daemon.clone(),
+            region: plan.region.clone(),
+            domain: plan.domain.clone(),
+            caller_address: "127.0.0.1:0".into(),
+            peer_address: "127.0.0.1:0".into(),
+            log_address: self.addresses.log.to_string(),
+            vms_address: self.addresses.vms.to_string(),
+            statsd_address: None,
+            operator_key_sha256: KeyDigest::of(&self.operator_key),
+            policy: Default::default(),
+            timing: tuning.timing.clone(),
+            limits: tuning.limits.clone(),
+        })?;
+        let info = DaemonInfo {
+            daemon: plan.daemon.clone(),
+            address: daemon.settings.peer_address.clone(),
+            region: plan.region.clone(),
+            domain: plan.domain.clone(),
+            state: VmState::Live,
+        };
+        self.switch(PlatformSwitch::PutDaemon { info })?;
+        self.daemons.push(daemon);
+        Ok(())
+    }
+
+    /// Changes a switch of the stand-ins.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the stand-ins have ended.
+    pub fn switch(&self, switch: PlatformSwitch) -> io::Result<()> {
+        self.platform
+            .send(PlatformCall::Switch(switch))
+            .map_err(|_| io::Error::other("the stand-ins have ended"))
+    }
+
+    /// Takes a daemon out of the list of running ones, for its shutdown.
+    #[must_use]
+    pub fn take_daemon(&mut self, name: &DaemonName) -> Option<RunningDaemon> {
+        let index = self
+            .daemons
+            .iter()
+            .position(|daemon| daemon.settings.daemon == *name)?;
+        Some(self.daemons.remove(index))
+    }
+
+    /// Returns the addresses of the running daemons for callers.
+    #[must_use]
+    pub fn caller_addresses(&self) -> Vec<String> {
+        self.daemons
+            .iter()
+            .map(|daemon| daemon.settings.caller_address.clone())
+            .collect()
+    }
+
+    /// Returns an operator's client of one daemon.
+    #[must_use]
+    pub fn operator(&self, address: &str) -> CallerClient {
+        CallerClient::new(address, None, &self.operator_key)
+    }
+}
+
+/// Returns a random key for a run. Keys of files are not known to a local run.
+#[must_use]
+pub fn random_key() -> String {
+    format!("{:032x}", fastrand::u128(..))
+}
+
+/// A caller or an operator of one daemon.
+pub struct CallerClient {
+    address: String,
+    headers: Vec<(&'static str, String)>,
+    client: HttpClient,
+}
+
+impl CallerClient {
+    /// Creates a client that presents a key.
+    #[must_use]
+    pub fn new(address: &str, team: Option<&str>, key: &str) -> Self {
+        let mut headers = vec![("Authorization", format!("Bearer {key}"))];
+        if let Some(team) = team {
+            headers.push(("Mustardpath-Team", team.to_string()));
+        }
+        Self {
+            address: address.into(),
+            headers,
+            client: HttpClient::new(ANSWER_BYTES),
+        }
+    }
+
+    /// Turns to another daemon.
+    pub fn turn_to(&mut self, address: &str) {
+        self.address = address.into();
+    }
+
+    /// Sends a GET.
+    ///
+    /// # Errors
+    ///
+    /// Returns whether the request can have arrived.
+    pub fn get(&mut self, path: &str, timeout: Duration) -> Result<HttpReply, CallError> {
+        self.client.call(&HttpCall {
+            address: &self.address,
+            path,
+            headers: &self.headers,
+            body: None,
+            timeout,
+        })
+    }
+
+    /// Sends a POST.
+    ///
+    /// # Errors
+    ///
+    /// Returns whether the request can have arrived.
+    pub fn post(
+        &mut self,
+        path: &str,
+        headers: &[(&'static str, String)],
+        body: &[u8],
+        timeout: Duration,
+    ) -> Result<HttpReply, CallError> {
+        let headers = [self.headers.as_slice(), headers].concat();
+        self.client.call(&HttpCall {
+            address: &self.address,
+            path,
+            headers: &headers,
+            body: Some(body),
+            timeout,
+        })
+    }
+
+    /// Publishes team files against the version in force.
+    ///
+    /// # Errors
+    ///
+    /// Returns the daemon's answer when it is not a new version.
+    pub fn publish(&mut self, teams: &[TeamFile]) -> io::Result<ConfigVersion> {
+        let base = match decode_answer(self.get("/v1/config", OPERATOR_TIME))? {
+            CallerAnswer::Config { version, .. } => version,
+            other => return Err(io::Error::other(format!("unexpected answer: {other:?}"))),
+        };
+        let body = serde_json::json!({ "base": base, "upsert": teams, "operator": "local" });
+        let body = body.to_string();
+        let reply = self.post("/v1/config", &[], body.as_bytes(), OPERATOR_TIME);
+        match decode_answer(reply)? {
+            CallerAnswer::Published { version } => Ok(version),
+            other => Err(io::Error::other(format!("unexpected answer: {other:?}"))),
+        }
+    }
+
+    /// Takes a failure domain out or brings it back.
+    ///
+    /// # Errors
+    ///
+    /// Returns the daemon's answer when the change is refused.
+    pub fn set_domain(&mut self, domain: &str, out: bool) -> io::Result<CallerAnswer> {
+        let body = serde_json::json!({
+            "domain": domain,
+            "out": out,
+            "operator": "local",
+            "confirmed": true,
+        });
+        let body = body.to_string();
+        decode_answer(self.post("/v1/domains", &[], body.as_bytes(), OPERATOR_TIME))
+    }
+
+    /// Tells whether the daemon takes new work.
+    pub fn is_ready(&mut self) -> bool {
+        matches!(self.get("/ready", Duration::from_secs(2)), Ok(reply) if reply.status == 200)
+    }
+}
+
+/// Decodes an answer that is not a failure.
+///
+/// # Errors
+///
+/// Returns the failure's text, or why there is no answer.
+pub fn decode_answer(reply: Result<HttpReply, CallError>) -> io::Result<CallerAnswer> {
+    let reply = reply.map_err(|error| io::Error::other(format!("{error:?}")))?;
+    if reply.status != 200 {
+        let text = String::from_utf8_lossy(&reply.body).into_owned();
+        return Err(io::Error::other(text));
+    }
+    serde_json::from_slice(&reply.body).map_err(io::Error::other)
+}
+
+/// Returns a field of a problem-details answer as text.
+#[must_use]
+pub fn problem_field(reply: &HttpReply, field: &str) -> Option<String> {
+    let problem: Value = serde_json::from_slice(&reply.body).ok()?;
+    problem.get(field)?.as_str().map(String::from)
+}
--- /dev/null
+++ b/src/standin_http.rs
@@ -0,0 +1,63 @@
+//! HTTP servers of the stand-ins. They run until the process ends.
+
+use std::io;
+use std::io::Read;
+use std::net::SocketAddr;
+use std::thread;
+use std::time::Duration;
+
+use rouille::Request;
+use rouille::Response;
+use rouille::Server;
+use serde::Serialize;
+
+/// Largest request that a stand-in takes, in bytes.
+const REQUEST_BYTES: u64 = 16 << 20;
+
+/// Time for which a request to a silent VM is held. It is above the timeouts of the daemons.
+const SILENCE: Duration = Duration::from_secs(6);
+
+/// Starts a server with a thread for each open request and returns its address.
+///
+/// # Errors
+///
+/// Returns the system's error when the socket or the thread cannot be set up.
+pub fn serve<F>(name: &str, address: &str, handler: F) -> io::Result<SocketAddr>
+where
+    F: Fn(&Request) -> Response + Send + Sync + 'static,
+{
+    let server = Server::new(address, handler).map_err(io::Error::other)?;
+    let address = server.server_addr();
+    thread::Builder::new()
+        .name(name.into())
+        .spawn(move || server.run())?;
+    Ok(address)
+}
+
+/// Returns the whole body of a request, or `None` when it is too large or cut off.
+#[must_use]
+pub fn read_body(request: &Request) -> Option<Vec<u8>> {
+    let mut bytes = Vec::new();
+    let body = request.data()?;
+    body.take(REQUEST_BYTES + 1).read_to_end(&mut bytes).ok()?;
+    (bytes.len() as u64 <= REQUEST_BYTES).then_some(bytes)
+}
+
+/// Returns a JSON answer.
+#[must_use]
+pub fn json(status: u16, value: &impl Serialize) -> Response {
+    Response::json(value).with_status_code(status)
+}
+
+/// Returns an answer without a body.
+#[must_use]
+pub fn empty(status: u16) -> Response {
+    Response::text("").with_status_code(status)
+}
+
+/// Stands for a VM that does not answer: the caller's timeout ends first.
+#[must_use]
+pub fn silent() -> Response {
+    thread::sleep(SILENCE);
+    empty(500)
+}
--- /dev/null
+++ b/src/standin_log.rs
@@ -0,0 +1,120 @@
+//! The log's model behind HTTP.
+
+use std::io;
+use std::net::SocketAddr;
+use std::thread;
+use std::time::Duration;
+
+use rouille::Request;
+use rouille::Response;
+
+use crate::log_client::StreamExpired;
+use crate::log_client::StreamRecord;
+use crate::log_client::StreamSlice;
+use crate::standin_http;
+use crate::standin_platform::PlatformCall;
+use crate::standin_platform::PlatformSender;
+use mustardpath_core::ids::LogOffset;
+use mustardpath_core::units::TimeSpan;
+use mustardpath_standin::log::AppendReply;
+use mustardpath_standin::log::ReadReply;
+
+/// Records in one answer.
+const MOST_RECORDS: usize = 10_000;
+
+/// Longest wait of one read.
+const LONGEST_WAIT: TimeSpan = TimeSpan::from_secs(30);
+
+/// Starts the server.
+///
+/// # Errors
+///
+/// Returns the system's error when the socket or the thread cannot be set up.
+pub fn spawn(platform: PlatformSender, address: &str) -> io::Result<SocketAddr> {
+    standin_http::serve("log", address, move |request| answer(&platform, request))
+}
+
+fn answer(platform: &PlatformSender, request: &Request) -> Response {
+    let path = request.url();
+    let parts: Vec<&str> = path.split('/').skip(1).collect();
+    match (request.method(), parts.as_slice()) {
+        ("POST", ["streams", stream, "records"]) => append(platform, request, stream),
+        ("GET", ["streams", stream, "records"]) => read(platform, request, stream),
+        _ => standin_http::empty(404),
+    }
+}
+
+fn append(platform: &PlatformSender, request: &Request, stream: &str) -> Response {
+    let texts: Option<Vec<String>> =
+        standin_http::read_body(request).and_then(|body| serde_json::from_slice(&body).ok());
+    let Some(texts) = texts else {
+        return standin_http::empty(400);
+    };
+    let (reply, replies) = crossbeam_channel::bounded(1);
+    let call = PlatformCall::Append {
+        stream: stream.into(),
+        records: texts.into_iter().map(String::into_bytes).collect(),
+        reply,
+    };
+    if platform.send(call).is_err() {
+        return standin_http::empty(503);
+    }
+    let Ok(delayed) = replies.recv() else {
+        return standin_http::empty(500);
+    };
+    thread::sleep(Duration::from_millis(delayed.after.0));
+    match delayed.answer {
+        AppendReply::Stored { first } => standin_http::json(200, &first),
+        AppendReply::Refused => standin_http::empty(503),
+        AppendReply::Lost => standin_http::empty(500),
+    }
+}
+
+fn number(request: &Request, name: &str, default: u64) -> u64 {
+    request
+        .get_param(name)
+        .and_then(|text| text.parse().ok())
+        .unwrap_or(default)
+}
+
+fn read(platform: &PlatformSender, request: &Request, stream: &str) -> Response {
+    let most = usize::try_from(number(request, "max", 1_000)).unwrap_or(MOST_RECORDS);
+    let (reply, replies) = crossbeam_channel::bounded(1);
+    let call = PlatformCall::Read {
+        stream: stream.into(),
+        from: LogOffset(number(request, "from", 0)),
+        max: most.min(MOST_RECORDS),
+        wait: TimeSpan(number(request, "wait_ms", 0)).min(LONGEST_WAIT),
+        reply,
+    };
+    if platform.send(call).is_err() {
+        return standin_http::empty(503);
+    }
+    let Ok(delayed) = replies.recv() else {
+        return standin_http::empty(500);
+    };
+    thread::sleep(Duration::from_millis(delayed.after.0));
+    match delayed.answer {
+        ReadReply::Records { records, tail } => {
+            let records = records.into_iter().map(encode_record).collect();
+            standin_http::json(
+                200,
+                &StreamSlice {
+                    records,
+                    tail: tail.0,
+                },
+            )
+        }
+        ReadReply::Expired { oldest } => {
+            standin_http::json(410, &StreamExpired { oldest: oldest.0 })
+        }
+        ReadReply::Down => standin_http::empty(503),
+    }
+}
+
+fn encode_record((offset, bytes): (LogOffset, Vec<u8>)) -> StreamRecord {
+    StreamRecord {
+        offset: offset.0,
+        text: String::from_utf8(bytes).unwrap_or_default(),
+    }
+}
--- /dev/null
+++ b/src/standin_vms.rs
@@ -0,0 +1,78 @@
+//! The VM list's model behind HTTP, with the admin route of all stand-ins.
+
+use std::io;
+use std::net::SocketAddr;
+
+use rouille::Request;
+use rouille::Response;
+use serde_json::json;
+
+use crate::standin_http;
+use crate::standin_platform::PlatformCall;
+use crate::standin_platform::PlatformSender;
+use crate::standin_platform::PlatformSwitch;
+use mustardpath_core::event::VmOutcome;
+
+/// Starts the server.
+///
+/// # Errors
+///
+/// Returns the system's error when the socket or the thread cannot be set up.
+pub fn spawn(platform: PlatformSender, address: &str) -> io::Result<SocketAddr> {
+    standin_http::serve("vms", address, move |request| answer(&platform, request))
+}
+
+fn answer(platform: &PlatformSender, request: &Request) -> Response {
+    let path = request.url();
+    match (request.method(), path.as_str()) {
+        ("GET", "/vms") => changes(platform, request),
+        ("POST", "/admin/switch") => switch(platform, request),
+        ("GET", "/admin/outcome") => outcome(platform),
+        _ => standin_http::empty(404),
+    }
+}
+
+fn changes(platform: &PlatformSender, request: &Request) -> Response {
+    let since = request
+        .get_param("since")
+        .and_then(|text| text.parse().ok())
+        .unwrap_or(0);
+    let (reply, replies) = crossbeam_channel::bounded(1);
+    if platform.send(PlatformCall::Vms { since, reply }).is_err() {
+        return standin_http::empty(503);
+    }
+    match replies.recv() {
+        Ok(Some(changes)) => standin_http::json(
+            200,
+            &VmOutcome::Changes {
+                version: changes.version,
+                workers: changes.workers,
+                daemons: changes.daemons,
+            },
+        ),
+        _ => standin_http::empty(503),
+    }
+}
+
+fn switch(platform: &PlatformSender, request: &Request) -> Response {
+    let switch: Option<PlatformSwitch> =
+        standin_http::read_body(request).and_then(|body| serde_json::from_slice(&body).ok());
+    match switch.map(|switch| platform.send(PlatformCall::Switch(switch))) {
+        Some(Ok(())) => standin_http::empty(200),
+        Some(Err(_)) => standin_http::empty(503),
+        None => standin_http::empty(400),
+    }
+}
+
+fn outcome(platform: &PlatformSender) -> Response {
+    let (reply, replies) = crossbeam_channel::bounded(1);
+    if platform.send(PlatformCall::Outcome { reply }).is_err() {
+        return standin_http::empty(503);
+    }
+    match replies.recv() {
+        Ok((report, starts)) => {
+            standin_http::json(200, &json!({ "report": report, "starts": starts }))
+        }
+        Err(_) => standin_http::empty(503),
+    }
+}
--- /dev/null
+++ b/src/standin_worker.rs
@@ -0,0 +1,147 @@
+//! One worker's model behind HTTP: control commands and short requests.
+
+use std::io;
+use std::net::SocketAddr;
+use std::thread;
+use std::time::Duration;
+
+use rouille::Request;
+use rouille::Response;
+
+use crate::digest;
+use crate::outbound;
+use crate::standin_http;
+use crate::standin_platform::ArrivedRequest;
+use crate::standin_platform::PlatformCall;
+use crate::standin_platform::PlatformSender;
+use mustardpath_core::ids::RequestKey;
+use mustardpath_core::ids::WorkerName;
+use mustardpath_core::worker::WorkerCommand;
+use mustardpath_standin::endpoint::EndpointReply;
+
+/// Starts the server of one worker.
+///
+/// # Errors
+///
+/// Returns the system's error when the socket or the thread cannot be set up.
+pub fn spawn(
+    platform: PlatformSender,
+    worker: WorkerName,
+    address: &str,
+) -> io::Result<SocketAddr> {
+    standin_http::serve("worker", address, move |request| {
+        answer(&platform, &worker, request)
+    })
+}
+
+fn answer(platform: &PlatformSender, worker: &WorkerName, request: &Request) -> Response {
+    let path = request.url();
+    let parts: Vec<&str> = path.split('/').skip(1).collect();
+    match (request.method(), parts.as_slice()) {
+        ("POST", ["command"]) => command(platform, worker, request),
+        ("POST", ["requests", "cancel"]) => cancel(platform, worker, request),
+        ("POST", ["requests", _]) => run(platform, worker, request),
+        _ => standin_http::empty(404),
+    }
+}
+
+fn command(platform: &PlatformSender, worker: &WorkerName, request: &Request) -> Response {
+    let command: Option<WorkerCommand> =
+        standin_http::read_body(request).and_then(|body| serde_json::from_slice(&body).ok());
+    let Some(command) = command else {
+        return standin_http::empty(400);
+    };
+    let (reply, replies) = crossbeam_channel::bounded(1);
+    let call = PlatformCall::Command {
+        worker: worker.clone(),
+        command,
+        reply,
+    };
+    if platform.send(call).is_err() {
+        return standin_http::silent();
+    }
+    match replies.recv() {
+        Ok(delayed) => {
+            thread::sleep(Duration::from_millis(delayed.after.0));
+            standin_http::json(200, &delayed.answer)
+        }
+        Err(_) => standin_http::silent(),
+    }
+}
+
+fn arrived(request: &Request) -> Option<ArrivedRequest> {
+    let body = standin_http::read_body(request)?;
+    let digest = request
+        .header(outbound::DIGEST_HEADER)
+        .and_then(digest::parse_digest)?;
+    let length: usize = request
+        .header(outbound::LENGTH_HEADER)
+        .and_then(|text| text.parse().ok())?;
+    if body.len() != length || digest::body_digest(&body) != digest {
+        return None;
+    }
+    Some(ArrivedRequest {
+        id: request.header(outbound::REQUEST_HEADER)?.into(),
+        attempt: request
+            .header(outbound::ATTEMPT_HEADER)
+            .and_then(|text| text.parse().ok())?,
+        key: request.header(outbound::KEY_HEADER).map(RequestKey::from),
+        body,
+    })
+}
+
+fn run(platform: &PlatformSender, worker: &WorkerName, request: &Request) -> Response {
+    let Some(arrived) = arrived(request) else {
+        return standin_http::empty(400);
+    };
+    let (id, attempt) = (arrived.id.clone(), arrived.attempt);
+    let (reply, replies) = crossbeam_channel::bounded(1);
+    let call = PlatformCall::Request {
+        worker: worker.clone(),
+        request: arrived,
+        reply,
+    };
+    if platform.send(call).is_err() {
+        return standin_http::silent();
+    }
+    let Ok(delayed) = replies.recv() else {
+        return standin_http::silent();
+    };
+    thread::sleep(Duration::from_millis(delayed.after.0));
+    match delayed.answer {
+        EndpointReply::Answered { status, body, .. } => marked(status, body, id, attempt),
+        EndpointReply::Refused => marked(503, Vec::new(), id, attempt)
+            .with_additional_header(outbound::RUN_HEADER, outbound::NOT_RUN),
+    }
+}
+
+/// Returns an answer with the headers that tie it to its request.
+fn marked(status: u16, body: Vec<u8>, id: String, attempt: u32) -> Response {
+    let length = body.len().to_string();
+    let digest = digest::format_digest(digest::body_digest(&body));
+    Response::from_data("application/octet-stream", body)
+        .with_status_code(status)
+        .with_additional_header(outbound::REQUEST_HEADER, id)
+        .with_additional_header(outbound::ATTEMPT_HEADER, attempt.to_string())
+        .with_additional_header(outbound::LENGTH_HEADER, length)
+        .with_additional_header(outbound::DIGEST_HEADER, digest)
+}
+
+fn cancel(platform: &PlatformSender, worker: &WorkerName, request: &Request) -> Response {
+    let id = request.header(outbound::REQUEST_HEADER);
+    let attempt = request
+        .header(outbound::ATTEMPT_HEADER)
+        .and_then(|text| text.parse().ok());
+    let (Some(id), Some(attempt)) = (id, attempt) else {
+        return standin_http::empty(400);
+    };
+    let call = PlatformCall::Cancel {
+        worker: worker.clone(),
+        id: id.into(),
+        attempt,
+    };
+    match platform.send(call) {
+        Ok(()) => standin_http::empty(200),
+        Err(_) => standin_http::empty(503),
+    }
+}
