Report a zero freshness bound only once

Cause: a zero bound made the check of the read wait report as well. Ruled out: a second message for one mistake. Change: the wait is checked only when the bound is valid.

--- a/core/src/settings.rs
+++ b/core/src/settings.rs
@@ -440,7 +440,9 @@
 fn check_freshness(document: &mut JsonDocument<'_>, settings: &DaemonSettings) {
     let timing = &settings.timing;
     let path = FieldPath::default().key("timing").key("log_wait");
-    if !document.is_reported(&path) && timing.log_wait.0 * 3 > timing.freshness.0 {
+    let bound = FieldPath::default().key("timing").key("freshness");
+    let is_known = document.is_reported(&path) || document.is_reported(&bound);
+    if !is_known && timing.log_wait.0 * 3 > timing.freshness.0 {
         let (wait, bound) = (format_span(timing.log_wait), format_span(timing.freshness));
         let message = format!(
             "{wait} is above a third of freshness ({bound}): a quiet log would count as unreachable"
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,23 +5,20 @@
 
 pub mod access;
 pub mod arguments;
+pub mod callers;
 pub mod client;
 pub mod command;
-pub mod domain_command;
-pub mod exit;
-pub mod job_command;
-pub mod publish;
-pub mod table;
-pub mod tree;
-pub mod callers;
 pub mod control;
 pub mod daemon;
 pub mod deployment;
 pub mod digest;
 pub mod dispatch;
+pub mod domain_command;
 pub mod exchange;
+pub mod exit;
 pub mod gate;
 pub mod http_client;
+pub mod job_command;
 pub mod local_cluster;
 pub mod log_client;
 pub mod logs;
@@ -31,6 +28,7 @@
 pub mod peer_service;
 pub mod peers;
 pub mod problem;
+pub mod publish;
 pub mod route_table;
 pub mod settings_file;
 pub mod signals;
@@ -39,6 +37,8 @@
 pub mod standin_platform;
 pub mod standin_vms;
 pub mod standin_worker;
+pub mod table;
+pub mod tree;
 
 // Generated from `schema/peer.capnp`; the generated code names itself by this path.
 #[allow(missing_docs, clippy::all, clippy::pedantic, rustdoc::all)]
