--- a/tests/cells/client.rs
+++ b/tests/cells/client.rs
@@ -1,5 +1,6 @@
 //! Callers of one cell: they send their work, try again as the answers advise and give up late.
 
+use super::scene;
 use mustardpath_core::effect::CallerAnswer;
 use mustardpath_core::event::CallerCommand;
 use mustardpath_core::event::JobRequest;
@@ -12,8 +13,6 @@
 use mustardpath_core::units::TimeSpan;
 use mustardpath_standin::driver::SimDriver;
 
-use super::scene;
-
 /// Time after which a caller closes the connection and tries another daemon.
 const PATIENCE: TimeSpan = TimeSpan::from_secs(15);
 
--- a/tests/cells/fault.rs
+++ b/tests/cells/fault.rs
@@ -1,5 +1,10 @@
 //! Faults of the cells: how each is injected, how long it lasts and how it is healed.
 
+use super::CellRun;
+use super::client::REQUESTS_SERVED;
+use super::scene;
+use super::step;
+use super::step::CellStep;
 use mustardpath_core::effect::ControlEffect;
 use mustardpath_core::ids::WorkerName;
 use mustardpath_core::units::TimeSpan;
@@ -10,12 +15,6 @@
 use mustardpath_standin::worker::WorkerFault;
 use mustardpath_standin::worker::WorkerModel;
 
-use super::CellRun;
-use super::client::REQUESTS_SERVED;
-use super::scene;
-use super::step;
-use super::step::CellStep;
-
 /// A single fault.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum SingleFault {
--- a/tests/cells/mod.rs
+++ b/tests/cells/mod.rs
@@ -5,6 +5,9 @@
 pub mod scene;
 pub mod step;
 
+use self::client::CallerOrder;
+use self::fault::CellFault;
+use self::step::CellStep;
 use mustardpath_core::effect::JobEnd;
 use mustardpath_core::ledger::JobPhase;
 use mustardpath_core::units::ClockTime;
@@ -12,10 +15,6 @@
 use mustardpath_core::worker::TaskPhase;
 use mustardpath_standin::driver::SimDriver;
 
-use client::CallerOrder;
-use fault::CellFault;
-use step::CellStep;
-
 /// Time between two looks of the callers at their answers.
 const LOOK: TimeSpan = TimeSpan(100);
 
--- a/tests/cells/step.rs
+++ b/tests/cells/step.rs
@@ -1,5 +1,7 @@
 //! Steps of the work at which a fault is injected, and how a run is brought to them.
 
+use super::CellRun;
+use super::scene;
 use mustardpath_core::effect::ControlEffect;
 use mustardpath_core::event::ShutdownLevel;
 use mustardpath_core::ids::DomainName;
@@ -13,9 +15,6 @@
 use mustardpath_standin::driver::SimDriver;
 use mustardpath_standin::worker::WorkerFault;
 
-use super::CellRun;
-use super::scene;
-
 /// Longest time that a run takes to its step.
 const REACH: TimeSpan = TimeSpan::from_secs(60);
 
--- a/tests/fault_matrix.rs
+++ b/tests/fault_matrix.rs
@@ -10,11 +10,11 @@
 use std::sync::atomic::Ordering;
 use std::thread;
 
-use cells::fault::CellFault;
-use cells::fault::FAULTS;
-use cells::run_cell;
-use cells::step::CellStep;
-use cells::step::STEPS;
+use self::cells::fault::CellFault;
+use self::cells::fault::FAULTS;
+use self::cells::run_cell;
+use self::cells::step::CellStep;
+use self::cells::step::STEPS;
 
 /// Threads that run cells. The cells share nothing, so the table does not depend on their order.
 const THREADS: usize = 4;
