Tell the checker when a worker's silence ends

Ruled out: keeping the wider bound for the rest of a run, which would pass gangs that stay partial. Change: the stand-in reports both.

--- a/src/standin_platform.rs
+++ b/src/standin_platform.rs
@@ -501,9 +501,8 @@
                 self.log.set_fault(fault);
             }
             PlatformSwitch::Worker { worker, fault } => {
-                if fault.dead || fault.paused || fault.loses_answers {
-                    self.checker.note_silence(&worker);
-                }
+                let silent = fault.dead || fault.paused || fault.loses_answers;
+                self.checker.note_silence(at, &worker, silent);
                 if let Some(model) = self.workers.get_mut(&worker) {
                     model.set_fault(at, fault);
                 }
