--- /dev/null
+++ b/core/src/baseline.rs
@@ -0,0 +1,71 @@
+//! The two policies that the main one is compared with.
+
+use std::cmp::Reverse;
+use std::collections::HashSet;
+
+use crate::fleet::FleetIndex;
+use crate::guarantee::can_ever_run;
+use crate::placement::GangShape;
+use crate::placement::PlacementStyle;
+use crate::placement::occupy;
+use crate::placement::place;
+use crate::policy::PolicyDecision;
+use crate::policy::PolicyKind;
+use crate::policy::PolicyMemory;
+use crate::policy::PolicyView;
+
+/// Returns the waiting jobs in the order of the baseline.
+fn order_of(view: &PolicyView<'_>) -> Vec<usize> {
+    let mut order: Vec<usize> = (0..view.waiting.len()).collect();
+    if view.kind == PolicyKind::StrictPriority {
+        order.sort_by_key(|position| {
+            let spec = &view.waiting[*position].order.spec;
+            (Reverse(spec.urgent), Reverse(spec.priority))
+        });
+    }
+    order
+}
+
+/// Places each job that fits, in order, on the first workers that hold it.
+///
+/// Nothing is reserved, reclaimed or moved. Jobs that no empty fleet holds are refused, because
+/// they would wait for ever.
+pub fn decide(view: &PolicyView<'_>, memory: &mut PolicyMemory) -> Vec<PolicyDecision> {
+    let fleet = FleetIndex::new(view.workers);
+    let mut room = fleet.free_room();
+    let mut too_large: HashSet<GangShape> = HashSet::new();
+    let mut decisions = Vec::new();
+    for position in order_of(view) {
+        let job = &view.waiting[position];
+        let shape = GangShape::of(&job.order.spec);
+        let found = (!too_large.contains(&shape))
+            .then(|| place(&shape, &fleet, &room, PlacementStyle::FirstFit))
+            .flatten();
+        if let Some(workers) = found {
+            occupy(&mut room, &workers, &shape.demand);
+            decisions.push(PolicyDecision::Place {
+                job: job.job,
+                workers: fleet.names(&workers),
+            });
+            continue;
+        }
+        let mut order = job.order.clone();
+        order.spec.preemptible = true;
+        order.spec.repeatable = true;
+        let fresh = too_large.insert(shape);
+        match fresh.then(|| can_ever_run(&order, view.workers, view.teams)) {
+            Some(Err(reason)) => {
+                too_large.remove(&shape);
+                decisions.push(PolicyDecision::Refuse {
+                    job: job.job,
+                    reason,
+                });
+            }
+            _ => {
+                let reason = "no free workers hold the gang".to_string();
+                memory.reasons.insert(job.job, vec![reason]);
+            }
+        }
+    }
+    decisions
+}
--- a/core/src/caller.rs
+++ b/core/src/caller.rs
@@ -18,6 +18,8 @@
 use crate::event::CallerCredential;
 use crate::event::JobRequest;
 use crate::explain;
+use crate::fleet;
+use crate::guarantee;
 use crate::ids::CallerId;
 use crate::ids::ConfigVersion;
 use crate::ids::JobId;
@@ -32,7 +34,6 @@
 use crate::ledger::VoidReason;
 use crate::outbox::RecordPurpose;
 use crate::outbox::SettledRecord;
-use crate::policy;
 use crate::record::JobOrder;
 use crate::record::RecordBody;
 use crate::record::RequestEnd;
@@ -382,7 +383,8 @@
         .values()
         .map(|entry| &entry.info)
         .collect();
-    policy::can_ever_run(&order, &workers, state.settings.limits.request_slots)
+    let slots = fleet::idle_slots(&workers, state.settings.limits.request_slots);
+    guarantee::can_ever_run(&order, &slots, &state.ledger.config.teams)
         .map_err(|reason| FailureReport::new(ErrorKind::NeverFits, reason))?;
     Ok(Submission::New(order))
 }
@@ -596,7 +598,8 @@
         .values()
         .map(|entry| &entry.info)
         .collect();
-    policy::check_guarantees(&teams, &workers)
+    let slots = fleet::idle_slots(&workers, state.settings.limits.request_slots);
+    guarantee::check_config(&teams, &slots)
         .map_err(|reason| FailureReport::new(ErrorKind::BadConfig, reason))
 }
 
--- a/core/src/config.rs
+++ b/core/src/config.rs
@@ -178,6 +178,16 @@
     pub deadline: Option<TimeSpan>,
 }
 
+impl ServiceSpec {
+    /// Tells whether running work may be stopped and run again later.
+    ///
+    /// Work that may run only once is never stopped, even when it reacts to a stop in time.
+    #[must_use]
+    pub const fn can_stop(&self) -> bool {
+        self.preemptible && self.repeatable
+    }
+}
+
 plain_data! {
     /// Limits of a team's short requests.
     #[derive(Copy)]
--- a/core/src/domain.rs
+++ b/core/src/domain.rs
@@ -8,6 +8,8 @@
 use crate::effect::DomainView;
 use crate::effect::LogPart;
 use crate::event::CallerCredential;
+use crate::fleet;
+use crate::guarantee;
 use crate::ids::CallerId;
 use crate::ids::DaemonName;
 use crate::ids::DomainName;
@@ -188,7 +190,8 @@
         .filter(|entry| !is_kept_out(state, &entry.info.domain) && entry.info.domain != *domain)
         .map(|entry| &entry.info)
         .collect();
-    crate::policy::check_guarantees(&state.ledger.config.teams, &workers)
+    let slots = fleet::idle_slots(&workers, state.settings.limits.request_slots);
+    guarantee::check_config(&state.ledger.config.teams, &slots)
         .map_err(|reason| format!("without {domain}: {reason}"))
 }
 
--- /dev/null
+++ b/core/src/fleet.rs
@@ -0,0 +1,188 @@
+//! The workers of a view by rack, and arithmetic on what they have.
+
+use std::collections::HashMap;
+
+use indexmap::IndexMap;
+
+use crate::config::ResourceDemand;
+use crate::ids::DomainName;
+use crate::ids::RackName;
+use crate::ids::RegionName;
+use crate::ids::WorkerName;
+use crate::policy::WorkerSlot;
+use crate::worker::WorkerInfo;
+
+/// One rack with the indexes of its workers.
+#[derive(Clone, Debug)]
+pub struct RackIndex {
+    /// Number of the region, by first appearance.
+    pub region: usize,
+    /// Number of the failure domain, by first appearance.
+    pub domain: usize,
+    /// Indexes of its workers in the list.
+    pub workers: Vec<usize>,
+}
+
+/// The workers of a view by rack, failure domain and region.
+#[derive(Clone, Debug)]
+pub struct FleetIndex<'a> {
+    /// The workers.
+    pub slots: &'a IndexMap<WorkerName, WorkerSlot>,
+    /// The racks by first appearance.
+    pub racks: Vec<RackIndex>,
+    /// Number of regions.
+    pub regions: usize,
+    /// Whether new work may be placed on each worker.
+    pub usable: Vec<bool>,
+    /// Usable failure domains of each region.
+    pub(crate) live_domains: Vec<Vec<usize>>,
+}
+
+impl<'a> FleetIndex<'a> {
+    /// Indexes the workers.
+    #[must_use]
+    pub fn new(slots: &'a IndexMap<WorkerName, WorkerSlot>) -> Self {
+        let mut regions: Vec<&RegionName> = Vec::new();
+        let mut domains: Vec<&DomainName> = Vec::new();
+        let mut known: HashMap<(usize, usize, &RackName), usize> = HashMap::new();
+        let mut racks: Vec<RackIndex> = Vec::new();
+        let mut live_domains: Vec<Vec<usize>> = Vec::new();
+        for (index, slot) in slots.values().enumerate() {
+            let region = position(&mut regions, &slot.info.region);
+            let domain = position(&mut domains, &slot.info.domain);
+            let rack = *known
+                .entry((region, domain, &slot.info.rack))
+                .or_insert_with(|| {
+                    racks.push(RackIndex {
+                        region,
+                        domain,
+                        workers: Vec::new(),
+                    });
+                    racks.len() - 1
+                });
+            racks[rack].workers.push(index);
+            live_domains.resize(regions.len(), Vec::new());
+            if slot.usable && !live_domains[region].contains(&domain) {
+                live_domains[region].push(domain);
+            }
+        }
+        Self {
+            slots,
+            racks,
+            regions: regions.len(),
+            usable: slots.values().map(|slot| slot.usable).collect(),
+            live_domains,
+        }
+    }
+
+    /// Returns the free room of each usable worker, and no room for the others.
+    #[must_use]
+    pub fn free_room(&self) -> Vec<ResourceDemand> {
+        let free = |(slot, usable): (&WorkerSlot, &bool)| if *usable { slot.free } else { NO_ROOM };
+        self.slots.values().zip(&self.usable).map(free).collect()
+    }
+
+    /// Returns what each worker offers to jobs when nothing runs.
+    #[must_use]
+    pub fn offered_room(&self) -> Vec<ResourceDemand> {
+        self.slots.values().map(|slot| slot.offered).collect()
+    }
+
+    /// Returns the name of a worker.
+    ///
+    /// # Panics
+    ///
+    /// Panics when the index is not one of this fleet.
+    #[must_use]
+    pub fn name(&self, index: usize) -> &'a WorkerName {
+        self.slots.get_index(index).expect("index of the fleet").0
+    }
+
+    /// Returns the names of the workers of a gang.
+    #[must_use]
+    pub fn names(&self, workers: &[usize]) -> Vec<WorkerName> {
+        workers
+            .iter()
+            .map(|index| self.name(*index).clone())
+            .collect()
+    }
+}
+
+/// Returns what a worker offers to jobs: its capacity less the slots left to requests.
+#[must_use]
+pub fn offered_by(info: &WorkerInfo, request_slots: u32) -> ResourceDemand {
+    let mut offered = info.capacity;
+    offered.slots = offered.slots.saturating_sub(request_slots);
+    offered
+}
+
+/// Returns the workers as if nothing ran and all were in service.
+#[must_use]
+pub fn idle_slots(workers: &[&WorkerInfo], request_slots: u32) -> IndexMap<WorkerName, WorkerSlot> {
+    let idle = |info: &&WorkerInfo| {
+        let offered = offered_by(info, request_slots);
+        let slot = WorkerSlot {
+            info: (*info).clone(),
+            free: offered,
+            offered,
+            usable: true,
+            domain_out: false,
+        };
+        (info.worker.clone(), slot)
+    };
+    workers.iter().map(idle).collect()
+}
+
+/// A worker with nothing to give.
+pub const NO_ROOM: ResourceDemand = ResourceDemand {
+    slots: 0,
+    accelerators: 0,
+    cores: 0,
+    memory_mib: 0,
+};
+
+fn position<'n, N: PartialEq>(names: &mut Vec<&'n N>, name: &'n N) -> usize {
+    match names.iter().position(|known| *known == name) {
+        Some(position) => position,
+        None => {
+            names.push(name);
+            names.len() - 1
+        }
+    }
+}
+
+/// Returns the smaller amount of each resource.
+#[must_use]
+pub fn least(one: &ResourceDemand, other: &ResourceDemand) -> ResourceDemand {
+    ResourceDemand {
+        slots: one.slots.min(other.slots),
+        accelerators: one.accelerators.min(other.accelerators),
+        cores: one.cores.min(other.cores),
+        memory_mib: one.memory_mib.min(other.memory_mib),
+    }
+}
+
+/// Returns `demand` times `count`.
+#[must_use]
+pub fn times(demand: &ResourceDemand, count: u32) -> ResourceDemand {
+    ResourceDemand {
+        slots: demand.slots.saturating_mul(count),
+        accelerators: demand.accelerators.saturating_mul(count),
+        cores: demand.cores.saturating_mul(count),
+        memory_mib: demand.memory_mib.saturating_mul(count),
+    }
+}
+
+/// Returns how many members of a gang the room holds, at most `limit`.
+#[must_use]
+pub fn members_in(demand: &ResourceDemand, room: &ResourceDemand, limit: u32) -> u32 {
+    if !demand.fits(room) {
+        return 0;
+    }
+    let of = |need: u32, have: u32| have.checked_div(need).unwrap_or(limit);
+    limit
+        .min(of(demand.slots, room.slots))
+        .min(of(demand.accelerators, room.accelerators))
+        .min(of(demand.cores, room.cores))
+        .min(of(demand.memory_mib, room.memory_mib))
+}
--- a/core/src/gang.rs
+++ b/core/src/gang.rs
@@ -665,6 +665,7 @@
     let attempt = run.attempt;
     run.enter(GangStage::Closing, context.at);
     state.planner.unsettled.insert(job);
+    plan::observe_end(state, job, &end, context.at);
     if end == AttemptEnd::Preempted {
         context.count(MetricName::AttemptsPreempted, 1);
     }
--- /dev/null
+++ b/core/src/placement.rs
@@ -0,0 +1,366 @@
+//! Where a gang goes: the search for a set of workers that holds it.
+
+use indexmap::IndexMap;
+
+use crate::config::GangAdjacency;
+use crate::config::ResourceDemand;
+use crate::config::ServiceSpec;
+use crate::fleet::FleetIndex;
+use crate::fleet::least;
+use crate::fleet::members_in;
+
+/// How a set of workers is chosen among those that hold a gang.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PlacementStyle {
+    /// The first workers in the order of the list.
+    FirstFit,
+    /// The workers and racks that are left with the least, and whole racks last.
+    BestFit,
+}
+
+/// What a gang needs of its set of workers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct GangShape {
+    /// Number of members.
+    pub members: u32,
+    /// What one member takes.
+    pub demand: ResourceDemand,
+    /// Whether all members stand in one rack.
+    pub same_rack: bool,
+    /// Whether members are spread over failure domains.
+    pub spread: bool,
+}
+
+impl GangShape {
+    /// Returns the shape that a service declares.
+    #[must_use]
+    pub const fn of(spec: &ServiceSpec) -> Self {
+        Self {
+            members: spec.members,
+            demand: spec.demand,
+            same_rack: matches!(spec.adjacency, GangAdjacency::SameRack),
+            spread: spec.spread_domains,
+        }
+    }
+}
+
+/// A rack or a worker as a bin for members.
+#[derive(Clone, Copy, Debug)]
+struct MemberBin {
+    id: usize,
+    count: u32,
+    whole: bool,
+    accelerators: u32,
+}
+
+impl MemberBin {
+    /// The order among bins that hold the rest of the gang: whole ones last, then the one with
+    /// the fewest accelerators left, because a nearly full bin serves no large shape anyway.
+    fn key(&self, need: u32) -> (bool, u32, u32, usize) {
+        (self.whole, self.accelerators, self.count - need, self.id)
+    }
+}
+
+/// Chooses bins for `need` members: the best single bin, else the largest bins first.
+fn choose(mut bins: Vec<MemberBin>, mut need: u32) -> Option<Vec<(MemberBin, u32)>> {
+    let total: u64 = bins.iter().map(|bin| u64::from(bin.count)).sum();
+    if total < u64::from(need) {
+        return None;
+    }
+    let mut chosen = Vec::new();
+    while need > 0 {
+        let single = (0..bins.len())
+            .filter(|at| bins[*at].count >= need)
+            .min_by_key(|at| bins[*at].key(need));
+        let at = match single {
+            Some(at) => at,
+            None => (0..bins.len())
+                .max_by_key(|at| (bins[*at].count, std::cmp::Reverse(bins[*at].id)))?,
+        };
+        let bin = bins.swap_remove(at);
+        let taken = bin.count.min(need);
+        need -= taken;
+        chosen.push((bin, taken));
+    }
+    Some(chosen)
+}
+
+/// One search for a gang's workers.
+struct PlacementSearch<'s, 'a> {
+    shape: &'s GangShape,
+    fleet: &'s FleetIndex<'a>,
+    room: &'s [ResourceDemand],
+    counts: Vec<u32>,
+}
+
+/// Workers with the members that each takes, and the cost that ranks regions.
+struct RegionPick {
+    cost: (usize, usize, u32),
+    workers: Vec<(usize, u32)>,
+}
+
+impl PlacementSearch<'_, '_> {
+    fn worker_bin(&self, worker: usize) -> MemberBin {
+        let offered = &self.fleet.slots[worker].offered;
+        MemberBin {
+            id: worker,
+            count: self.counts[worker],
+            whole: self.room[worker] == *offered,
+            accelerators: self.room[worker].accelerators,
+        }
+    }
+
+    fn rack_bin(&self, rack: usize) -> MemberBin {
+        let mut bin = MemberBin {
+            id: rack,
+            count: 0,
+            whole: true,
+            accelerators: 0,
+        };
+        for worker in &self.fleet.racks[rack].workers {
+            let part = self.worker_bin(*worker);
+            bin.count = (bin.count + part.count).min(self.shape.members);
+            bin.whole &= part.whole;
+            bin.accelerators += part.accelerators;
+        }
+        bin
+    }
+
+    fn pack(&self, racks: impl Iterator<Item = usize>, need: u32) -> Option<RegionPick> {
+        let mut bins: Vec<MemberBin> = racks
+            .map(|rack| self.rack_bin(rack))
+            .filter(|bin| bin.count > 0)
+            .collect();
+        if self.shape.same_rack {
+            bins.retain(|bin| bin.count >= need);
+        }
+        let chosen = choose(bins, need)?;
+        let mut workers = Vec::new();
+        let mut cost = (chosen.len(), 0, 0);
+        for (rack, taken) in chosen {
+            cost.1 += usize::from(rack.whole);
+            cost.2 += rack.accelerators;
+            let bins = self.fleet.racks[rack.id]
+                .workers
+                .iter()
+                .map(|worker| self.worker_bin(*worker))
+                .filter(|bin| bin.count > 0)
+                .collect();
+            let picks = choose(bins, taken)?;
+            workers.extend(picks.into_iter().map(|(bin, taken)| (bin.id, taken)));
+        }
+        Some(RegionPick { cost, workers })
+    }
+
+    fn racks_of(&self, region: usize) -> impl Iterator<Item = usize> {
+        let racks = &self.fleet.racks;
+        (0..racks.len()).filter(move |rack| racks[*rack].region == region)
+    }
+
+    /// Gives each failure domain of a region its part of the members, as even as room allows.
+    fn domain_parts(&self, region: usize) -> Option<Vec<(usize, u32)>> {
+        let mut room: IndexMap<usize, u32> = IndexMap::new();
+        for rack in self.racks_of(region) {
+            let count = self.rack_bin(rack).count;
+            *room.entry(self.fleet.racks[rack].domain).or_default() += count;
+        }
+        let mut parts: Vec<(usize, u32)> = room.keys().map(|domain| (*domain, 0)).collect();
+        for _ in 0..self.shape.members {
+            let open = parts
+                .iter_mut()
+                .filter(|(domain, part)| room[domain] > *part);
+            open.min_by_key(|(_, part)| *part)?.1 += 1;
+        }
+        parts.retain(|(_, part)| *part > 0);
+        let several = self.shape.members > 1 && self.fleet.live_domains[region].len() > 1;
+        (!several || parts.len() > 1).then_some(parts)
+    }
+
+    fn spread(&self, region: usize) -> Option<RegionPick> {
+        let mut pick = RegionPick {
+            cost: (0, 0, 0),
+            workers: Vec::new(),
+        };
+        for (domain, part) in self.domain_parts(region)? {
+            let racks = self
+                .racks_of(region)
+                .filter(|rack| self.fleet.racks[*rack].domain == domain);
+            let picked = self.pack(racks, part)?;
+            pick.cost.0 += picked.cost.0;
+            pick.cost.1 += picked.cost.1;
+            pick.cost.2 += picked.cost.2;
+            pick.workers.extend(picked.workers);
+        }
+        Some(pick)
+    }
+
+    fn best_fit(&self) -> Option<Vec<(usize, u32)>> {
+        (0..self.fleet.regions)
+            .filter_map(|region| {
+                if self.shape.spread {
+                    self.spread(region)
+                } else {
+                    self.pack(self.racks_of(region), self.shape.members)
+                }
+            })
+            .min_by_key(|pick| pick.cost)
+            .map(|pick| pick.workers)
+    }
+
+    fn first_in(&self, workers: impl Iterator<Item = usize>) -> Option<Vec<(usize, u32)>> {
+        let mut need = self.shape.members;
+        let mut picks = Vec::new();
+        for worker in workers {
+            let taken = self.counts[worker].min(need);
+            if taken > 0 {
+                picks.push((worker, taken));
+                need -= taken;
+            }
+            if need == 0 {
+                return Some(picks);
+            }
+        }
+        None
+    }
+
+    fn first_fit(&self) -> Option<Vec<(usize, u32)>> {
+        let racks = &self.fleet.racks;
+        if self.shape.spread {
+            return (0..self.fleet.regions)
+                .find_map(|region| self.spread(region))
+                .map(|pick| pick.workers);
+        }
+        if self.shape.same_rack {
+            return racks
+                .iter()
+                .find_map(|rack| self.first_in(rack.workers.iter().copied()));
+        }
+        (0..self.fleet.regions).find_map(|region| {
+            let workers = self
+                .racks_of(region)
+                .flat_map(|rack| racks[rack].workers.iter().copied());
+            self.first_in(workers)
+        })
+    }
+}
+
+/// Finds a worker for each member of a gang, or `None` when the room does not hold the gang.
+///
+/// `room` has one entry for each worker of the fleet. All members stand in one region. A gang in
+/// one rack cannot be spread over failure domains, so there is no place for one that asks for both.
+#[must_use]
+pub fn place(
+    shape: &GangShape,
+    fleet: &FleetIndex<'_>,
+    room: &[ResourceDemand],
+    style: PlacementStyle,
+) -> Option<Vec<usize>> {
+    let contradicts = shape.same_rack && shape.spread && shape.members > 1;
+    if shape.members == 0 || contradicts {
+        return None;
+    }
+    let counts = room
+        .iter()
+        .map(|room| members_in(&shape.demand, room, shape.members))
+        .collect();
+    let search = PlacementSearch {
+        shape,
+        fleet,
+        room,
+        counts,
+    };
+    let picks = match style {
+        PlacementStyle::FirstFit => search.first_fit(),
+        PlacementStyle::BestFit => search.best_fit(),
+    }?;
+    let workers = picks
+        .into_iter()
+        .flat_map(|(worker, taken)| std::iter::repeat_n(worker, taken as usize))
+        .collect();
+    Some(workers)
+}
+
+/// Takes a placed gang's demand from the room.
+pub fn occupy(room: &mut [ResourceDemand], workers: &[usize], demand: &ResourceDemand) {
+    for worker in workers {
+        room[*worker].take(demand);
+    }
+}
+
+/// Running work that could give its room back.
+#[derive(Clone, Debug)]
+pub struct ReleasedWork {
+    /// Position of the job among the running jobs of the view.
+    pub running: usize,
+    /// The worker of each member.
+    pub workers: Vec<usize>,
+    /// What one member holds.
+    pub demand: ResourceDemand,
+}
+
+/// A placement that waits for running work to end.
+#[derive(Clone, Debug)]
+pub struct LaterPlacement {
+    /// How many of the candidates, from the first, have to give their room back.
+    pub released: usize,
+    /// The worker of each member.
+    pub workers: Vec<usize>,
+}
+
+/// Returns the room after the first `count` candidates have given theirs back.
+#[must_use]
+pub fn room_after(
+    free: &[ResourceDemand],
+    candidates: &[ReleasedWork],
+    count: usize,
+    cap: Option<&[ResourceDemand]>,
+) -> Vec<ResourceDemand> {
+    let mut room = free.to_vec();
+    for work in &candidates[..count] {
+        for worker in &work.workers {
+            room[*worker].add(&work.demand);
+        }
+    }
+    if let Some(cap) = cap {
+        for (room, cap) in room.iter_mut().zip(cap) {
+            *room = least(room, cap);
+        }
+    }
+    room
+}
+
+/// Finds the shortest run of candidates, from the first, whose room lets the gang fit.
+///
+/// The search halves the run at each step, so that its cost grows with the logarithm of the
+/// number of candidates. `cap` limits the room of each worker.
+#[must_use]
+pub fn place_after(
+    shape: &GangShape,
+    fleet: &FleetIndex<'_>,
+    free: &[ResourceDemand],
+    candidates: &[ReleasedWork],
+    cap: Option<&[ResourceDemand]>,
+) -> Option<LaterPlacement> {
+    let attempt = |count: usize| {
+        let room = room_after(free, candidates, count, cap);
+        place(shape, fleet, &room, PlacementStyle::BestFit)
+    };
+    let mut found = LaterPlacement {
+        released: candidates.len(),
+        workers: attempt(candidates.len())?,
+    };
+    let mut low = 0;
+    while low < found.released {
+        let middle = low.midpoint(found.released);
+        match attempt(middle) {
+            Some(workers) => {
+                found = LaterPlacement {
+                    released: middle,
+                    workers,
+                };
+            }
+            None => low = middle + 1,
+        }
+    }
+    Some(found)
+}
--- a/core/src/plan.rs
+++ b/core/src/plan.rs
@@ -12,6 +12,7 @@
 use crate::domain;
 use crate::effect::LogPart;
 use crate::event::CallOutcome;
+use crate::fleet;
 use crate::gang;
 use crate::gang::GangRun;
 use crate::gang::GangStage;
@@ -24,6 +25,8 @@
 use crate::member;
 use crate::outbox::RecordPurpose;
 use crate::policy;
+use crate::policy::EndObservation;
+use crate::policy::ObservedEnd;
 use crate::policy::PolicyDecision;
 use crate::policy::PolicyMemory;
 use crate::policy::PolicyView;
@@ -301,7 +304,7 @@
     let mut memory = std::mem::take(&mut state.planner.memory);
     let workers = worker_slots(state, at);
     let waiting = waiting_jobs(state);
-    let running = running_jobs(state);
+    let running = running_jobs(state, at);
     let view = PolicyView {
         at,
         kind: state.settings.policy,
@@ -309,6 +312,7 @@
         waiting: &waiting,
         running: &running,
         teams: &state.ledger.config.teams,
+        moves_per_hour: state.settings.limits.moves_per_hour,
     };
     let decisions = policy::decide(&view, &mut memory);
     state.planner.memory = memory;
@@ -322,10 +326,8 @@
         if entry.info.state == VmState::Gone {
             continue;
         }
-        let mut free = entry.info.capacity;
-        free.slots = free
-            .slots
-            .saturating_sub(state.settings.limits.request_slots);
+        let offered = fleet::offered_by(&entry.info, state.settings.limits.request_slots);
+        let mut free = offered;
         free.take(&state.ledger.used_on(worker));
         if let Some(demand) = held.get(worker) {
             free.take(demand);
@@ -336,7 +338,9 @@
             WorkerSlot {
                 info: entry.info.clone(),
                 free,
+                offered,
                 usable,
+                domain_out: domain::is_kept_out(state, &entry.info.domain),
             },
         );
     }
@@ -400,21 +404,31 @@
         .collect()
 }
 
-fn running_jobs(state: &DaemonState) -> Vec<RunningJob<'_>> {
-    state
+/// Returns placed jobs, and jobs whose members are being reserved: both hold capacity.
+fn running_jobs(state: &DaemonState, at: ClockTime) -> Vec<RunningJob<'_>> {
+    let placed = state
         .ledger
         .placed()
         .filter_map(|job| state.ledger.jobs.get(&job).map(|record| (job, record)))
         .filter_map(|(job, record)| match &record.phase {
-            JobPhase::Placed { workers, at } => Some(RunningJob {
-                job,
-                order: &record.order,
-                workers,
-                placed_at: *at,
-                checkpoint: record.checkpoint,
-                stopping: is_stopping(state, job),
-            }),
+            JobPhase::Placed { workers, at } => Some((job, record, workers, *at)),
             _ => None,
+        });
+    let reserving = state.planner.unsettled.iter().filter_map(|job| {
+        let run = state.planner.runs.get(job).filter(|run| !run.recorded)?;
+        let record = state.ledger.jobs.get(job)?;
+        let queued = matches!(record.phase, JobPhase::Queued);
+        queued.then_some((*job, record, &run.workers, at))
+    });
+    placed
+        .chain(reserving)
+        .map(|(job, record, workers, placed_at)| RunningJob {
+            job,
+            order: &record.order,
+            workers,
+            placed_at,
+            checkpoint: record.checkpoint,
+            stopping: is_stopping(state, job),
         })
         .collect()
 }
@@ -451,3 +465,32 @@
         gang::begin_stop(state, job, AttemptEnd::Preempted, context);
     }
 }
+
+/// Lets the policy learn from an attempt that has ended. Run time counts from the placement.
+pub fn observe_end(state: &mut DaemonState, job: JobId, end: &AttemptEnd, at: ClockTime) {
+    let Some(record) = state.ledger.jobs.get(&job) else {
+        return;
+    };
+    let JobPhase::Placed {
+        workers,
+        at: placed_at,
+    } = &record.phase
+    else {
+        return;
+    };
+    let observation = EndObservation {
+        at,
+        job,
+        order: &record.order,
+        workers,
+        failed_on: &record.failed_on,
+        progress: record.checkpoint + at.since(*placed_at),
+        end: match end {
+            AttemptEnd::Finished { .. } => ObservedEnd::Finished,
+            AttemptEnd::Failed { worker, .. } => ObservedEnd::Failed { worker },
+            _ => ObservedEnd::Other,
+        },
+    };
+    // The ledger ends a job after its third failure, so the verdict decides nothing more.
+    let _ = state.planner.memory.observe_end(&observation);
+}
--- a/core/src/policy.rs
+++ b/core/src/policy.rs
@@ -1,13 +1,26 @@
 //! Queue order, placement and reclaim as pure decisions over a borrowed view.
 
+use std::hash::Hash;
+use std::hash::Hasher;
+
 use indexmap::IndexMap;
+use twox_hash::XxHash64;
 
+use crate::baseline;
 use crate::config::ResourceDemand;
 use crate::config::TeamFile;
+use crate::draft;
+use crate::estimate::EstimateTable;
+use crate::guarantee::LaidShape;
+use crate::guarantee::MissingShape;
 use crate::ids::JobId;
 use crate::ids::TeamName;
 use crate::ids::WorkerName;
+use crate::queue::UsageTable;
 use crate::record::JobOrder;
+use crate::suspect::HealthTable;
+use crate::suspect::JobVerdict;
+use crate::suspect::WorkerFailure;
 use crate::units::ClockTime;
 use crate::units::TimeSpan;
 use crate::worker::WorkerInfo;
@@ -34,8 +47,12 @@
         pub info: WorkerInfo,
         /// Capacity that no task and no reservation holds, less the slots left to requests.
         pub free: ResourceDemand,
+        /// What it offers to jobs when nothing runs: its capacity less the slots left to requests.
+        pub offered: ResourceDemand,
         /// Whether new work may be placed on it now.
         pub usable: bool,
+        /// Whether it is not usable because its failure domain is out of service.
+        pub domain_out: bool,
     }
 }
 
@@ -86,6 +103,41 @@
     pub running: &'a [RunningJob<'a>],
     /// The configuration in force.
     pub teams: &'a IndexMap<TeamName, TeamFile>,
+    /// Moves of running work an hour to repair fragmentation.
+    pub moves_per_hour: u32,
+}
+
+/// How an attempt ended, as far as the policy learns from it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ObservedEnd<'a> {
+    /// All members finished.
+    Finished,
+    /// A member failed.
+    Failed {
+        /// The worker that reported the failure.
+        worker: &'a WorkerName,
+    },
+    /// The attempt was stopped, lost or never started.
+    Other,
+}
+
+/// One attempt that has ended.
+#[derive(Clone, Copy, Debug)]
+pub struct EndObservation<'a> {
+    /// When it ended.
+    pub at: ClockTime,
+    /// The job.
+    pub job: JobId,
+    /// What was submitted.
+    pub order: &'a JobOrder,
+    /// The worker of each member.
+    pub workers: &'a [WorkerName],
+    /// Workers on which earlier attempts failed.
+    pub failed_on: &'a [WorkerName],
+    /// Work done, that before the checkpoint included.
+    pub progress: TimeSpan,
+    /// How it ended.
+    pub end: ObservedEnd<'a>,
 }
 
 plain_data! {
@@ -122,112 +174,177 @@
 }
 
 plain_data! {
+    /// Capacity that is being freed for a job.
+    pub struct PendingClaim {
+        /// The job.
+        pub job: JobId,
+        /// The worker of each member.
+        pub workers: Vec<WorkerName>,
+        /// When the victims were chosen.
+        pub since: ClockTime,
+    }
+
+    /// Capacity that the first large job in the queue waits for.
+    pub struct HeadReservation {
+        /// The job.
+        pub job: JobId,
+        /// When it got the reservation.
+        pub granted_at: ClockTime,
+        /// When the job is expected to start.
+        pub start: ClockTime,
+        /// The longest delay of the start that passing work may cause.
+        pub bound: TimeSpan,
+        /// The workers that are kept for it.
+        pub workers: Vec<WorkerName>,
+        /// When start and workers were last computed.
+        pub checked_at: ClockTime,
+    }
+
+    /// Whether a shape of work fits on the empty fleet.
+    pub struct FeasibleShape {
+        /// Why it does not fit.
+        pub fault: Option<String>,
+        /// Since when it has not fitted, or when it was checked.
+        pub since: ClockTime,
+        /// Digest of the fleet and the guarantees that it was checked against.
+        pub fleet: u64,
+    }
+
+    /// A view that led to no decision.
+    #[derive(Copy)]
+    pub struct SettledView {
+        /// Digest of the view.
+        pub digest: u64,
+        /// When time alone may lead to a decision.
+        pub until: ClockTime,
+    }
+
     /// What the policy remembers between decisions.
     #[derive(Default)]
     pub struct PolicyMemory {
         /// Sentences on why each waiting job waits, from the last decision.
         pub reasons: IndexMap<JobId, Vec<String>>,
+        /// Observed run times.
+        pub estimates: EstimateTable,
+        /// Workers and their failures.
+        pub health: HealthTable,
+        /// Decayed use by each team.
+        pub usage: UsageTable,
+        /// Capacity that is being freed.
+        pub claims: Vec<PendingClaim>,
+        /// The reservation of the first large job.
+        pub reservation: Option<HeadReservation>,
+        /// The guaranteed shapes as last laid out.
+        pub laid: Vec<LaidShape>,
+        /// Shapes that the fleet does not hold, as last laid out.
+        pub suspended: Vec<MissingShape>,
+        /// Digest of the fleet and the guarantees of the last layout.
+        pub laid_for: u64,
+        /// Times of the moves in the last hour.
+        pub moves: Vec<ClockTime>,
+        /// Shapes of work checked against the empty fleet, by digest.
+        pub feasible: IndexMap<u64, FeasibleShape>,
+        /// The last view that led to no decision.
+        pub settled: Option<SettledView>,
     }
 }
 
-/// Decides what to place, reclaim, move and refuse.
-#[must_use]
-pub fn decide(view: &PolicyView<'_>, memory: &mut PolicyMemory) -> Vec<PolicyDecision> {
-    memory.reasons.clear();
-    let mut free: IndexMap<&WorkerName, ResourceDemand> = view
-        .workers
-        .iter()
-        .filter(|(_, slot)| slot.usable)
-        .map(|(worker, slot)| (worker, slot.free))
-        .collect();
-    let mut decisions = Vec::new();
-    for job in view.waiting {
-        match first_fit(job, view, &mut free) {
-            Some(workers) => decisions.push(PolicyDecision::Place {
-                job: job.job,
-                workers,
-            }),
-            None => {
-                memory
-                    .reasons
-                    .insert(job.job, vec!["no free workers hold the gang".into()]);
+impl PolicyMemory {
+    /// Learns from an attempt that has ended. The planner calls it once for each attempt and ends
+    /// the job as failed when the verdict says so.
+    pub fn observe_end(&mut self, end: &EndObservation<'_>) -> JobVerdict {
+        self.settled = None;
+        let order = end.order;
+        match end.end {
+            ObservedEnd::Finished => {
+                let declared = order.spec.run_time;
+                self.estimates
+                    .observe(&order.team, &order.service, declared, end.progress);
+                self.health.succeed(end.workers, end.job, end.at);
+                JobVerdict::Retry
+            }
+            ObservedEnd::Failed { worker } => {
+                let failure = WorkerFailure {
+                    at: end.at,
+                    job: end.job,
+                    team: order.team.clone(),
+                };
+                let verdict = self.health.fail(worker, end.failed_on, failure);
+                self.health.release_probe(end.workers, end.job);
+                verdict
+            }
+            ObservedEnd::Other => {
+                self.health.release_probe(end.workers, end.job);
+                JobVerdict::Retry
             }
         }
     }
-    decisions
+
+    fn is_settled(&self, digest: u64, at: ClockTime) -> bool {
+        self.settled
+            .is_some_and(|view| view.digest == digest && at < view.until)
+    }
+
+    fn settle(&mut self, digest: u64, at: ClockTime, decided: bool) {
+        let until = at + SETTLED_SPAN;
+        let until = self.health.next_probe().map_or(until, |due| due.min(until));
+        self.settled = (!decided).then_some(SettledView { digest, until });
+    }
 }
 
-fn first_fit(
-    job: &WaitingJob<'_>,
-    view: &PolicyView<'_>,
-    free: &mut IndexMap<&WorkerName, ResourceDemand>,
-) -> Option<Vec<WorkerName>> {
-    let spec = &job.order.spec;
-    let mut regions: Vec<_> = view
-        .workers
-        .values()
-        .map(|slot| &slot.info.region)
-        .collect();
-    regions.sort();
-    regions.dedup();
-    for region in regions {
-        let mut left = free.clone();
-        let mut workers = Vec::new();
-        for (worker, room) in &mut left {
-            if view.workers[*worker].info.region != *region {
-                continue;
-            }
-            while workers.len() < spec.members as usize && spec.demand.fits(room) {
-                room.take(&spec.demand);
-                workers.push((*worker).clone());
-            }
-        }
-        if workers.len() == spec.members as usize {
-            *free = left;
-            return Some(workers);
-        }
+/// Time after which a view is looked at again although nothing in it has changed, because slack,
+/// age and estimates move with time.
+const SETTLED_SPAN: TimeSpan = TimeSpan::from_secs(5);
+
+/// Returns a digest of everything in the view that can change a decision, but for the time.
+fn view_digest(view: &PolicyView<'_>) -> u64 {
+    let mut hasher = XxHash64::with_seed(0);
+    (view.kind, view.moves_per_hour).hash(&mut hasher);
+    fleet_digest(view).hash(&mut hasher);
+    for slot in view.workers.values() {
+        slot.free.hash(&mut hasher);
+    }
+    for job in view.waiting {
+        (job.job, job.failed_on.len()).hash(&mut hasher);
     }
-    None
+    for job in view.running {
+        (job.job, job.placed_at, job.stopping).hash(&mut hasher);
+    }
+    hasher.finish()
 }
 
-/// Checks that some set of workers could hold the job if nothing else ran.
-///
-/// # Errors
-///
-/// Returns the reason why no set of workers ever could.
-pub fn can_ever_run(
-    order: &JobOrder,
-    workers: &[&WorkerInfo],
-    request_slots: u32,
-) -> Result<(), String> {
-    let spec = &order.spec;
-    let mut fitting = 0;
-    for info in workers {
-        let mut room = info.capacity;
-        room.slots = room.slots.saturating_sub(request_slots);
-        while fitting < spec.members && spec.demand.fits(&room) && spec.demand.slots > 0 {
-            room.take(&spec.demand);
-            fitting += 1;
-        }
+/// Returns a digest of the workers, less what they run, and of the guarantees.
+#[must_use]
+pub fn fleet_digest(view: &PolicyView<'_>) -> u64 {
+    let mut hasher = XxHash64::with_seed(0);
+    for (worker, slot) in view.workers {
+        worker.hash(&mut hasher);
+        (slot.offered, slot.usable, slot.domain_out).hash(&mut hasher);
     }
-    if fitting < spec.members {
-        return Err(format!(
-            "the gang needs {} members, workers hold {fitting}",
-            spec.members
-        ));
+    for (team, file) in view.teams {
+        (team, file.weight).hash(&mut hasher);
+        for shape in &file.guarantees {
+            (shape.workers, shape.per_worker).hash(&mut hasher);
+            (shape.same_rack, shape.count).hash(&mut hasher);
+        }
     }
-    Ok(())
+    hasher.finish()
 }
 
-/// Checks that all guaranteed shapes fit on the workers together.
-///
-/// # Errors
+/// Decides what to place, reclaim, move and refuse.
 ///
-/// Returns the first team and shape that do not fit.
-pub fn check_guarantees(
-    teams: &IndexMap<TeamName, TeamFile>,
-    workers: &[&WorkerInfo],
-) -> Result<(), String> {
-    let _ = (teams, workers);
-    Ok(())
+/// The same view and memory always give the same decisions.
+#[must_use]
+pub fn decide(view: &PolicyView<'_>, memory: &mut PolicyMemory) -> Vec<PolicyDecision> {
+    let digest = view_digest(view);
+    if memory.is_settled(digest, view.at) {
+        return Vec::new();
+    }
+    memory.reasons.clear();
+    let decisions = match view.kind {
+        PolicyKind::FirstFit | PolicyKind::StrictPriority => baseline::decide(view, memory),
+        PolicyKind::Mustardpath => draft::decide(view, memory),
+    };
+    memory.settle(digest, view.at, !decisions.is_empty());
+    decisions
 }
--- /dev/null
+++ b/core/src/queue.rs
@@ -0,0 +1,338 @@
+//! The order in which waiting jobs are considered.
+
+use std::cmp::Reverse;
+use std::collections::BTreeSet;
+use std::collections::HashMap;
+use std::collections::VecDeque;
+
+use indexmap::IndexMap;
+
+use crate::config::ResourceDemand;
+use crate::config::TeamFile;
+use crate::estimate::EstimateTable;
+use crate::fleet::NO_ROOM;
+use crate::fleet::times;
+use crate::guarantee::guaranteed_total;
+use crate::ids::TeamName;
+use crate::policy::PolicyView;
+use crate::policy::WaitingJob;
+use crate::policy::WorkerSlot;
+use crate::record::JobOrder;
+use crate::units::ClockTime;
+use crate::units::TimeSpan;
+
+/// A share of 1 in the unit of the usage history.
+const WHOLE_SHARE: u64 = 1_000_000;
+/// Step of the usage history.
+const USAGE_STEP: TimeSpan = TimeSpan::from_secs(10);
+/// Decay of the history in one step, in millionths: a half-life of 1 h.
+const USAGE_DECAY: u64 = 1_924;
+/// Time for which work in progress counts in advance, so that one decision does not give all
+/// free capacity to the team that used the least before.
+const USAGE_AHEAD: TimeSpan = TimeSpan::from_secs(3_600);
+/// Wait after which a job without a deadline is ordered like one whose deadline is now.
+pub const LONGEST_WAIT: TimeSpan = TimeSpan::from_secs(12 * 3_600);
+
+plain_data! {
+    /// Decayed use of capacity by each team.
+    #[derive(Default)]
+    pub struct UsageTable {
+        /// Time up to which use is counted.
+        at: ClockTime,
+        /// Dominant share in millionths times milliseconds, by team.
+        teams: IndexMap<TeamName, u64>,
+    }
+}
+
+impl UsageTable {
+    /// Counts the shares that the teams held since the last step.
+    pub fn advance(&mut self, at: ClockTime, shares: &[(&TeamName, u64)]) {
+        let steps = at.since(self.at).0 / USAGE_STEP.0;
+        if self.at == ClockTime(0) {
+            self.at = at;
+        }
+        if steps == 0 {
+            return;
+        }
+        self.at = self.at + TimeSpan(steps * USAGE_STEP.0);
+        for (team, share) in shares {
+            let used = match self.teams.get_mut(*team) {
+                Some(used) => used,
+                None => self.teams.entry((*team).clone()).or_default(),
+            };
+            // The decay brings any history below one part in a million within 24 h.
+            for _ in 0..steps.min(8_640) {
+                *used -= *used / WHOLE_SHARE * USAGE_DECAY
+                    + *used % WHOLE_SHARE * USAGE_DECAY / WHOLE_SHARE;
+                *used += share * USAGE_STEP.0;
+            }
+        }
+        let known = |team: &TeamName| shares.iter().any(|(name, _)| *name == team);
+        self.teams.retain(|team, _| known(team));
+    }
+
+    fn used(&self, team: &TeamName) -> u64 {
+        self.teams.get(team).copied().unwrap_or(0)
+    }
+}
+
+/// What a team is guaranteed and what it holds.
+#[derive(Clone, Copy, Debug)]
+pub struct TeamAccount {
+    /// All guaranteed shapes together.
+    pub guaranteed: ResourceDemand,
+    /// What its work holds or is about to hold.
+    pub used: ResourceDemand,
+    /// Weight in the fair share.
+    pub weight: u64,
+}
+
+impl TeamAccount {
+    /// Tells whether the team holds more of some resource than it is guaranteed.
+    #[must_use]
+    pub const fn borrows(&self) -> bool {
+        !self.used.fits(&self.guaranteed)
+    }
+
+    /// Tells whether a job fits in what is left of the guarantee.
+    #[must_use]
+    pub fn admits(&self, order: &JobOrder) -> bool {
+        let mut used = self.used;
+        used.add(&whole_demand(order));
+        used.fits(&self.guaranteed)
+    }
+}
+
+/// Returns what all members of a job take.
+#[must_use]
+pub fn whole_demand(order: &JobOrder) -> ResourceDemand {
+    times(&order.spec.demand, order.spec.members)
+}
+
+/// Accounts of all teams, with the capacity of the fleet.
+#[derive(Clone, Debug)]
+pub struct AccountTable<'a> {
+    teams: HashMap<&'a TeamName, TeamAccount>,
+    fleet: ResourceDemand,
+}
+
+impl<'a> AccountTable<'a> {
+    /// Opens the accounts with the running work of a view.
+    #[must_use]
+    pub fn new(view: &PolicyView<'a>) -> Self {
+        let mut table = Self {
+            teams: HashMap::new(),
+            fleet: fleet_total(view.workers),
+        };
+        for (team, file) in view.teams {
+            table.teams.insert(
+                team,
+                TeamAccount {
+                    guaranteed: guaranteed_total(file),
+                    used: NO_ROOM,
+                    weight: u64::from(file.weight.max(1)),
+                },
+            );
+        }
+        for job in view.running.iter().filter(|job| !job.stopping) {
+            table.add(job.order);
+        }
+        table
+    }
+
+    /// Returns the account of a team.
+    #[must_use]
+    pub fn get(&self, team: &TeamName) -> Option<&TeamAccount> {
+        self.teams.get(team)
+    }
+
+    /// Adds a job to what its team holds.
+    pub fn add(&mut self, order: &'a JobOrder) {
+        let account = self.teams.entry(&order.team).or_insert(TeamAccount {
+            guaranteed: NO_ROOM,
+            used: NO_ROOM,
+            weight: 1,
+        });
+        account.used.add(&whole_demand(order));
+    }
+
+    /// Takes a job from what its team holds.
+    pub fn take(&mut self, order: &JobOrder) {
+        if let Some(account) = self.teams.get_mut(&order.team) {
+            account.used.take(&whole_demand(order));
+        }
+    }
+
+    /// Tells whether a job lies within its team's guarantee.
+    #[must_use]
+    pub fn admits(&self, order: &JobOrder) -> bool {
+        self.get(&order.team)
+            .is_some_and(|account| account.admits(order))
+    }
+
+    /// Returns the largest share of any resource that the demand takes of the fleet.
+    #[must_use]
+    pub fn dominant_share(&self, demand: &ResourceDemand) -> u64 {
+        let of = |part: u32, whole: u32| u64::from(part) * WHOLE_SHARE / u64::from(whole.max(1));
+        of(demand.slots, self.fleet.slots)
+            .max(of(demand.accelerators, self.fleet.accelerators))
+            .max(of(demand.cores, self.fleet.cores))
+            .max(of(demand.memory_mib, self.fleet.memory_mib))
+    }
+
+    /// Returns the dominant share of each configured team.
+    #[must_use]
+    pub fn shares(&self, teams: &'a IndexMap<TeamName, TeamFile>) -> Vec<(&'a TeamName, u64)> {
+        let share = |team| {
+            self.get(team)
+                .map_or(0, |account| self.dominant_share(&account.used))
+        };
+        teams.keys().map(|team| (team, share(team))).collect()
+    }
+}
+
+fn fleet_total(workers: &IndexMap<crate::ids::WorkerName, WorkerSlot>) -> ResourceDemand {
+    workers.values().fold(NO_ROOM, |mut total, slot| {
+        total.add(&slot.offered);
+        total
+    })
+}
+
+/// The jobs of one team that are ordered by fair share, the next one last.
+#[derive(Debug)]
+struct TeamQueue<'a> {
+    team: &'a TeamName,
+    jobs: Vec<usize>,
+    used: u64,
+    weight: u64,
+}
+
+impl TeamQueue<'_> {
+    const fn key(&self) -> u64 {
+        self.used / self.weight
+    }
+}
+
+/// The waiting jobs in the order of the policy, as positions in the view.
+///
+/// The order of teams changes while jobs are placed, so the next job is found when it is asked
+/// for.
+#[derive(Debug)]
+pub struct QueueOrder<'a> {
+    front: VecDeque<usize>,
+    teams: Vec<TeamQueue<'a>>,
+    ranks: BTreeSet<(u64, usize)>,
+}
+
+fn slack(job: &WaitingJob<'_>, at: ClockTime, estimates: &EstimateTable) -> i128 {
+    let limit = job.order.spec.deadline.unwrap_or(LONGEST_WAIT);
+    let left = estimates
+        .expected(job.order)
+        .0
+        .saturating_sub(job.checkpoint.0);
+    i128::from((job.accepted_at + limit).0) - i128::from(at.0) - i128::from(left)
+}
+
+/// Returns the age of a job in units of its own estimated run time, in per mille.
+///
+/// Age alone lets a job of minutes wait as long as one of hours. Measured in its own run time, a
+/// short job gets old sooner and a long one still does.
+fn relative_age(job: &WaitingJob<'_>, at: ClockTime, estimates: &EstimateTable) -> u64 {
+    let age = at.since(job.accepted_at).0;
+    let left = estimates
+        .expected(job.order)
+        .0
+        .saturating_sub(job.checkpoint.0);
+    (age + 1_000).saturating_mul(1_000) / left.max(1_000)
+}
+
+impl<'a> QueueOrder<'a> {
+    /// Orders the waiting jobs of a view.
+    #[must_use]
+    pub fn new(
+        view: &PolicyView<'a>,
+        accounts: &AccountTable<'a>,
+        usage: &UsageTable,
+        estimates: &EstimateTable,
+    ) -> Self {
+        let mut urgent = Vec::new();
+        let mut timed = Vec::new();
+        let mut shared: IndexMap<&TeamName, Vec<usize>> = IndexMap::new();
+        let mut claims = accounts.clone();
+        for (position, job) in view.waiting.iter().enumerate() {
+            let spec = &job.order.spec;
+            if spec.urgent && claims.admits(job.order) {
+                claims.add(job.order);
+                urgent.push(position);
+            } else if spec.deadline.is_some() || view.at.since(job.accepted_at) > LONGEST_WAIT {
+                timed.push((slack(job, view.at, estimates), position));
+            } else {
+                shared.entry(&job.order.team).or_default().push(position);
+            }
+        }
+        timed.sort_unstable();
+        let mut order = Self {
+            front: urgent.into_iter().collect(),
+            teams: Vec::with_capacity(shared.len()),
+            ranks: BTreeSet::new(),
+        };
+        order.front.extend(timed.into_iter().map(|(_, job)| job));
+        for (team, mut jobs) in shared {
+            jobs.sort_by_cached_key(|position| {
+                let job = &view.waiting[*position];
+                let age = relative_age(job, view.at, estimates);
+                (job.order.spec.priority, age, Reverse(*position))
+            });
+            order.add_team(team, jobs, accounts, usage);
+        }
+        order
+    }
+
+    fn add_team(
+        &mut self,
+        team: &'a TeamName,
+        jobs: Vec<usize>,
+        accounts: &AccountTable<'a>,
+        usage: &UsageTable,
+    ) {
+        let account = accounts.get(team);
+        let share = account.map_or(0, |account| accounts.dominant_share(&account.used));
+        let queue = TeamQueue {
+            team,
+            jobs,
+            used: usage.used(team) + share * USAGE_AHEAD.0,
+            weight: account.map_or(1, |account| account.weight),
+        };
+        self.ranks.insert((queue.key(), self.teams.len()));
+        self.teams.push(queue);
+    }
+
+    /// Returns the next job.
+    pub fn next_job(&mut self) -> Option<usize> {
+        if let Some(job) = self.front.pop_front() {
+            return Some(job);
+        }
+        loop {
+            let (_, team) = *self.ranks.first()?;
+            match self.teams[team].jobs.pop() {
+                Some(job) => return Some(job),
+                None => {
+                    self.ranks.pop_first();
+                }
+            }
+        }
+    }
+
+    /// Counts a share that a team has been given in this decision.
+    pub fn charge(&mut self, team: &TeamName, share: u64) {
+        let Some(at) = self.teams.iter().position(|queue| queue.team == team) else {
+            return;
+        };
+        let queue = &mut self.teams[at];
+        let listed = self.ranks.remove(&(queue.key(), at));
+        queue.used += share * USAGE_AHEAD.0;
+        if listed {
+            self.ranks.insert((queue.key(), at));
+        }
+    }
+}
--- /dev/null
+++ b/core/src/reclaim.rs
@@ -0,0 +1,112 @@
+//! Which running work gives its capacity back.
+
+use std::collections::HashMap;
+
+use crate::config::ResourceDemand;
+use crate::fleet::FleetIndex;
+use crate::placement::GangShape;
+use crate::placement::ReleasedWork;
+use crate::placement::place_after;
+use crate::policy::RunningJob;
+use crate::units::ClockTime;
+
+/// Running work that can be stopped, with what stopping it loses.
+#[derive(Clone, Debug)]
+pub struct ReclaimCandidate {
+    /// The work and its room.
+    pub work: ReleasedWork,
+    /// Work since its placement, in accelerator-milliseconds.
+    pub loss: u64,
+}
+
+/// Victims and the workers that they free.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ReclaimPlan {
+    /// Positions of the victims among the running jobs of the view.
+    pub victims: Vec<usize>,
+    /// The worker of each member of the claimant.
+    pub workers: Vec<usize>,
+}
+
+/// Returns the work that is lost when a job stops without a checkpoint, in
+/// accelerator-milliseconds; work without accelerators counts as if it had one.
+#[must_use]
+pub fn work_lost(job: &RunningJob<'_>, at: ClockTime) -> u64 {
+    let spec = &job.order.spec;
+    let size = u64::from(spec.members) * u64::from(spec.demand.accelerators.max(1));
+    at.since(job.placed_at).0.saturating_mul(size)
+}
+
+/// Chooses victims for a claimant from candidates in the order of rising loss.
+///
+/// The costliest victim is as cheap as possible, and no victim is left whose room the claimant
+/// does not need.
+#[must_use]
+pub fn choose_victims(
+    shape: &GangShape,
+    fleet: &FleetIndex<'_>,
+    free: &[ResourceDemand],
+    candidates: &[ReclaimCandidate],
+    cap: Option<&[ResourceDemand]>,
+) -> Option<ReclaimPlan> {
+    let works: Vec<ReleasedWork> = candidates.iter().map(|one| one.work.clone()).collect();
+    let found = place_after(shape, fleet, free, &works, cap)?;
+    let mut lack: HashMap<usize, (ResourceDemand, ResourceDemand)> = HashMap::new();
+    for worker in &found.workers {
+        let entry = lack
+            .entry(*worker)
+            .or_insert((ResourceDemand::default(), free[*worker]));
+        entry.0.add(&shape.demand);
+    }
+    let mut victims: Vec<&ReleasedWork> = works[..found.released]
+        .iter()
+        .filter(|work| work.workers.iter().any(|worker| lack.contains_key(worker)))
+        .collect();
+    for work in &victims {
+        give(&mut lack, work);
+    }
+    for at in (0..victims.len()).rev() {
+        if can_spare(&lack, victims[at]) {
+            withhold(&mut lack, victims[at]);
+            victims.remove(at);
+        }
+    }
+    Some(ReclaimPlan {
+        victims: victims.iter().map(|work| work.running).collect(),
+        workers: found.workers,
+    })
+}
+
+type LackTable = HashMap<usize, (ResourceDemand, ResourceDemand)>;
+
+fn give(lack: &mut LackTable, work: &ReleasedWork) {
+    for worker in &work.workers {
+        if let Some((_, room)) = lack.get_mut(worker) {
+            room.add(&work.demand);
+        }
+    }
+}
+
+fn withhold(lack: &mut LackTable, work: &ReleasedWork) {
+    for worker in &work.workers {
+        if let Some((_, room)) = lack.get_mut(worker) {
+            room.take(&work.demand);
+        }
+    }
+}
+
+fn can_spare(lack: &LackTable, work: &ReleasedWork) -> bool {
+    let mut members: HashMap<usize, u32> = HashMap::new();
+    for worker in &work.workers {
+        *members.entry(*worker).or_default() += 1;
+    }
+    members.iter().all(|(worker, count)| {
+        lack.get(worker).is_none_or(|(need, room)| {
+            let mut left = *room;
+            for _ in 0..*count {
+                left.take(&work.demand);
+            }
+            need.fits(&left)
+        })
+    })
+}
--- /dev/null
+++ b/core/src/wait.rs
@@ -0,0 +1,123 @@
+//! Why a job waits, and the end of jobs that can never run.
+
+use std::hash::Hash;
+use std::hash::Hasher;
+
+use twox_hash::XxHash64;
+
+use crate::draft::DecisionDraft;
+use crate::fleet::NO_ROOM;
+use crate::guarantee::can_ever_run;
+use crate::placement::GangShape;
+use crate::policy::FeasibleShape;
+use crate::policy::PolicyDecision;
+use crate::queue::whole_demand;
+use crate::record::JobOrder;
+use crate::units::TimeSpan;
+
+/// Time for which a job has to be infeasible before it is ended, because workers that are being
+/// replaced are missing from the list for minutes.
+const INFEASIBLE_SPAN: TimeSpan = TimeSpan::from_secs(600);
+/// Checks against the empty fleet with all guarantees in one decision; each lays out all shapes.
+const CHECK_LIMIT: usize = 1;
+/// Shapes of work remembered with the outcome of the check.
+const FEASIBLE_LIMIT: usize = 4_096;
+
+impl DecisionDraft<'_, '_> {
+    /// Ends a job that has not fitted on the empty fleet for some time.
+    pub(crate) fn refuse(&mut self, position: usize) -> bool {
+        let job = &self.view.waiting[position];
+        let spec = &job.order.spec;
+        let mut hasher = XxHash64::with_seed(0);
+        GangShape::of(spec).hash(&mut hasher);
+        let owner = (!spec.can_stop()).then_some(&job.order.team);
+        owner.hash(&mut hasher);
+        let key = hasher.finish();
+        let known = self.memory.feasible.get(&key);
+        if known.is_none_or(|known| known.fleet != self.digest) && self.checks < CHECK_LIMIT {
+            self.checks += usize::from(!spec.can_stop());
+            let since = known.filter(|known| known.fault.is_some());
+            let since = since.map_or(self.view.at, |known| known.since);
+            let fault = can_ever_run(job.order, self.view.workers, self.view.teams).err();
+            if self.memory.feasible.len() >= FEASIBLE_LIMIT {
+                self.memory.feasible.shift_remove_index(0);
+            }
+            let fleet = self.digest;
+            let shape = FeasibleShape {
+                fault,
+                since,
+                fleet,
+            };
+            self.memory.feasible.insert(key, shape);
+        }
+        let Some(known) = self.memory.feasible.get(&key) else {
+            return false;
+        };
+        let (Some(fault), since) = (&known.fault, known.since) else {
+            return false;
+        };
+        let reason = fault.clone();
+        if self.view.at.since(since.max(job.accepted_at)) < INFEASIBLE_SPAN {
+            self.memory.reasons.insert(job.job, vec![reason]);
+        } else {
+            self.decisions.push(PolicyDecision::Refuse {
+                job: job.job,
+                reason,
+            });
+        }
+        true
+    }
+
+    /// Notes why a job waits: the resource, the guarantee and the reservation.
+    pub(crate) fn explain(&mut self, position: usize) {
+        let job = &self.view.waiting[position];
+        let mut reasons = Vec::new();
+        let holder = self.memory.reservation.as_ref();
+        match holder {
+            Some(held) if held.job == job.job => reasons.push(format!(
+                "it holds a reservation of {} workers and is expected to start in {} s",
+                held.workers.len(),
+                held.start.since(self.view.at).0 / 1_000
+            )),
+            Some(held) if !self.may_pass(job) => reasons.push(format!(
+                "workers are reserved for job {}, and it might delay that job",
+                held.job
+            )),
+            _ => {}
+        }
+        reasons.push(self.lacking(job.order));
+        if !job.order.spec.can_stop() {
+            reasons.push(
+                "it cannot be stopped, so it may not use what is guaranteed to other teams".into(),
+            );
+        }
+        if !self.accounts.admits(job.order) {
+            reasons.push(format!(
+                "team {} has no guarantee left for it",
+                job.order.team
+            ));
+        }
+        self.memory.reasons.insert(job.job, reasons);
+    }
+
+    fn lacking(&self, order: &JobOrder) -> String {
+        let need = whole_demand(order);
+        let free = self.free.iter().fold(NO_ROOM, |mut total, room| {
+            total.add(room);
+            total
+        });
+        let rows = [
+            ("accelerators", need.accelerators, free.accelerators),
+            ("cores", need.cores, free.cores),
+            ("MiB of memory", need.memory_mib, free.memory_mib),
+            ("slots", need.slots, free.slots),
+        ];
+        match rows.iter().find(|(_, need, free)| need > free) {
+            Some((name, need, free)) => format!("it needs {need} {name} and {free} are free"),
+            None => format!(
+                "no set of free workers in one region holds its {} members",
+                order.spec.members
+            ),
+        }
+    }
+}
--- /dev/null
+++ b/core/tests/policy_property.rs
@@ -0,0 +1,243 @@
+//! Properties that hold whatever the jobs, the running work and the workers are.
+
+mod fixture;
+
+use std::collections::HashMap;
+
+use bolero::TypeGenerator;
+use bolero::check;
+
+use crate::fixture::Scene;
+use crate::fixture::spec;
+use crate::fixture::team;
+use crate::fixture::worker;
+use mustardpath_core::config::GangAdjacency;
+use mustardpath_core::config::ResourceDemand;
+use mustardpath_core::config::ServiceSpec;
+use mustardpath_core::guarantee::check_config;
+use mustardpath_core::ids::JobId;
+use mustardpath_core::ids::WorkerName;
+use mustardpath_core::policy::PolicyDecision;
+use mustardpath_core::policy::PolicyKind;
+use mustardpath_core::units::TimeSpan;
+
+const WORKERS: usize = 24;
+const TEAMS: [&str; 3] = ["a", "b", "c"];
+
+#[derive(Clone, Debug, TypeGenerator)]
+struct DrawnJob {
+    #[generator(0..3usize)]
+    team: usize,
+    #[generator(1..12u32)]
+    members: u32,
+    #[generator(0..9u32)]
+    accelerators: u32,
+    flags: u8,
+    #[generator(1..600u64)]
+    minutes: u64,
+}
+
+#[derive(Clone, Debug, TypeGenerator)]
+enum DrawnStep {
+    Submit(DrawnJob),
+    End(u8),
+    Cancel(u8),
+    Wait(u8),
+    Fail(#[generator(0..24usize)] usize),
+    Return(#[generator(0..24usize)] usize),
+    Domain(#[generator(0..3usize)] usize, bool),
+}
+
+fn drawn_spec(job: &DrawnJob) -> ServiceSpec {
+    let flag = |bit: u8| job.flags >> bit & 1 == 1;
+    ServiceSpec {
+        preemptible: flag(0),
+        urgent: flag(1),
+        spread_domains: flag(2) && flag(3),
+        adjacency: if flag(4) && flag(5) {
+            GangAdjacency::SameRack
+        } else {
+            GangAdjacency::FewestRacks
+        },
+        deadline: flag(6).then_some(TimeSpan(job.minutes * 90_000)),
+        run_time: TimeSpan(job.minutes * 60_000),
+        ..spec(job.members, job.accelerators)
+    }
+}
+
+/// Picks a job by a drawn number.
+fn pick(jobs: Vec<JobId>, number: u8) -> Option<JobId> {
+    let count = jobs.len();
+    (count > 0).then(|| jobs[usize::from(number) % count])
+}
+
+fn apply(scene: &mut Scene, step: &DrawnStep) {
+    let running = scene.jobs.keys().copied().filter(|job| scene.runs(*job));
+    match step {
+        DrawnStep::Submit(job) => {
+            scene.submit(TEAMS[job.team], drawn_spec(job));
+        }
+        DrawnStep::End(number) => {
+            if let Some(job) = pick(running.collect(), *number) {
+                scene.end(job);
+            }
+        }
+        DrawnStep::Cancel(number) => {
+            if let Some(job) = pick(scene.jobs.keys().copied().collect(), *number) {
+                scene.end(job);
+            }
+        }
+        DrawnStep::Wait(minutes) => scene.at += u64::from(*minutes) * 60_000,
+        DrawnStep::Fail(number) => scene.workers[&worker(*number)].usable = false,
+        DrawnStep::Return(number) => {
+            let slot = &mut scene.workers[&worker(*number)];
+            slot.usable = !slot.domain_out;
+        }
+        DrawnStep::Domain(domain, out) => {
+            for number in domain * 8..domain * 8 + 8 {
+                let slot = &mut scene.workers[&worker(number)];
+                slot.usable = !out;
+                slot.domain_out = *out;
+            }
+        }
+    }
+    scene.at += 1_000;
+}
+
+fn drawn_scene(kind: PolicyKind) -> Scene {
+    let shapes = [
+        team("a", &[(4, true, 1), (1, false, 2)]),
+        team("b", &[(2, false, 2)]),
+        team("c", &[]),
+    ];
+    let mut scene = Scene::new(WORKERS, &shapes);
+    scene.kind = kind;
+    scene
+}
+
+fn region_of(scene: &Scene, name: &WorkerName) -> String {
+    scene.workers[name].info.region.as_str().to_owned()
+}
+
+/// Checks each decision against the state that it was made on. [`Scene::place`] panics when a
+/// slot or accelerator is given away twice.
+fn check_decisions(scene: &Scene, decisions: &[PolicyDecision]) {
+    let mut taken: HashMap<&WorkerName, ResourceDemand> = HashMap::new();
+    for decision in decisions {
+        match decision {
+            PolicyDecision::Place { job, workers } => {
+                let entry = &scene.jobs[job];
+                let spec = &entry.order.spec;
+                assert!(entry.placed.is_none(), "{job} is placed twice");
+                assert_eq!(workers.len(), spec.members as usize, "a part of gang {job}");
+                let region = region_of(scene, &workers[0]);
+                for worker in workers {
+                    let slot = &scene.workers[worker];
+                    assert!(slot.usable, "{worker} is not usable");
+                    assert_eq!(region_of(scene, worker), region, "gang {job} spans regions");
+                    let used = taken.entry(worker).or_default();
+                    used.add(&spec.demand);
+                    assert!(used.fits(&slot.free), "{worker} is used twice");
+                }
+                if spec.adjacency == GangAdjacency::SameRack {
+                    let rack = |name: &WorkerName| scene.workers[name].info.rack.clone();
+                    assert!(workers.iter().all(|name| rack(name) == rack(&workers[0])));
+                }
+            }
+            PolicyDecision::Reclaim { victim, .. } | PolicyDecision::Move { job: victim } => {
+                let entry = &scene.jobs[victim];
+                assert!(entry.placed.is_some(), "{victim} does not run");
+                assert!(entry.order.spec.can_stop(), "{victim} cannot be stopped");
+            }
+            PolicyDecision::Refuse { job, .. } => assert!(!scene.runs(*job)),
+        }
+    }
+}
+
+/// Checks that all guaranteed shapes still lie beside the work that cannot be stopped.
+fn check_reclaimable(scene: &Scene) {
+    let before = scene
+        .memory
+        .suspended
+        .iter()
+        .map(|one| one.count)
+        .sum::<u32>();
+    let mut probe = Scene::new(0, &[]);
+    probe.at = scene.at;
+    probe.workers.clone_from(&scene.workers);
+    probe.teams.clone_from(&scene.teams);
+    probe.memory.clone_from(&scene.memory);
+    probe.memory.settled = None;
+    for (job, entry) in &scene.jobs {
+        if let Some(placed) = &entry.placed
+            && !entry.order.spec.can_stop()
+        {
+            let id = probe.submit(entry.order.team.as_str(), entry.order.spec.clone());
+            probe.jobs[&id].placed = Some(placed.clone());
+            assert!(job.0 > 0);
+        }
+    }
+    probe.decide();
+    let after = probe
+        .memory
+        .suspended
+        .iter()
+        .map(|one| one.count)
+        .sum::<u32>();
+    assert!(
+        after <= before,
+        "{before} shapes were missing, {after} are now"
+    );
+}
+
+fn run(kind: PolicyKind, steps: &[DrawnStep]) -> Vec<Vec<PolicyDecision>> {
+    let mut scene = drawn_scene(kind);
+    assert_eq!(check_config(&scene.teams, &scene.workers), Ok(()));
+    let mut all = Vec::new();
+    for step in steps {
+        apply(&mut scene, step);
+        let decisions = scene.decide();
+        check_decisions(&scene, &decisions);
+        for decision in &decisions {
+            match decision {
+                PolicyDecision::Place { job, workers } => scene.place(*job, workers.clone()),
+                PolicyDecision::Reclaim { victim: job, .. } | PolicyDecision::Move { job } => {
+                    scene.stop(*job);
+                }
+                PolicyDecision::Refuse { job, .. } => scene.end(*job),
+            }
+        }
+        if kind == PolicyKind::Mustardpath {
+            check_reclaimable(&scene);
+        }
+        all.push(decisions);
+    }
+    all
+}
+
+/// Guards against parts of gangs, double use, unusable workers, guarantees that fixed work makes
+/// impossible, and decisions that depend on anything but the view and the memory.
+#[test]
+fn decisions_hold_the_promises() {
+    check!()
+        .with_iterations(600)
+        .with_max_len(4_096)
+        .with_type::<Vec<DrawnStep>>()
+        .for_each(|steps| {
+            let first = run(PolicyKind::Mustardpath, steps);
+            assert_eq!(run(PolicyKind::Mustardpath, steps), first);
+        });
+}
+
+/// Guards against the same faults in the baselines, but for guarantees, which they ignore.
+#[test]
+fn baseline_decisions_are_whole() {
+    check!()
+        .with_iterations(300)
+        .with_max_len(4_096)
+        .with_type::<Vec<DrawnStep>>()
+        .for_each(|steps| {
+            run(PolicyKind::FirstFit, steps);
+            run(PolicyKind::StrictPriority, steps);
+        });
+}
--- /dev/null
+++ b/core/tests/policy_queue.rs
@@ -0,0 +1,270 @@
+//! Order, reservations, moves and estimates.
+
+mod fixture;
+
+use crate::fixture::Scene;
+use crate::fixture::order;
+use crate::fixture::spec;
+use crate::fixture::team;
+use crate::fixture::worker;
+use mustardpath_core::config::GangAdjacency;
+use mustardpath_core::config::ServiceSpec;
+use mustardpath_core::ids::JobId;
+use mustardpath_core::ids::WorkerName;
+use mustardpath_core::policy::EndObservation;
+use mustardpath_core::policy::ObservedEnd;
+use mustardpath_core::policy::PolicyDecision;
+use mustardpath_core::policy::PolicyKind;
+use mustardpath_core::units::ClockTime;
+use mustardpath_core::units::TimeSpan;
+
+const MINUTE: u64 = 60_000;
+
+fn minutes(spec: ServiceSpec, minutes: u64) -> ServiceSpec {
+    ServiceSpec {
+        run_time: TimeSpan(minutes * MINUTE),
+        ..spec
+    }
+}
+
+fn fixed(spec: ServiceSpec) -> ServiceSpec {
+    ServiceSpec {
+        preemptible: false,
+        ..spec
+    }
+}
+
+fn placed(decisions: &[PolicyDecision]) -> Vec<JobId> {
+    let place = |one: &PolicyDecision| match one {
+        PolicyDecision::Place { job, .. } => Some(*job),
+        _ => None,
+    };
+    decisions.iter().filter_map(place).collect()
+}
+
+/// Guards against urgent work that waits behind deadlines, and deadlines behind fair shares.
+#[test]
+fn serves_urgent_then_deadlines_then_shares() {
+    let mut scene = Scene::new(4, &[team("a", &[(1, false, 1)]), team("b", &[])]);
+    let shared = scene.submit("b", spec(1, 8));
+    let timed = |deadline| ServiceSpec {
+        deadline: Some(TimeSpan(deadline * MINUTE)),
+        ..spec(1, 8)
+    };
+    let late = scene.submit("b", timed(300));
+    let soon = scene.submit("b", timed(90));
+    let urgent = scene.submit(
+        "a",
+        ServiceSpec {
+            urgent: true,
+            ..spec(1, 8)
+        },
+    );
+    assert_eq!(placed(&scene.decide()), [urgent, soon, late, shared]);
+}
+
+/// Guards against a team that gets everything because it asked first.
+#[test]
+fn shares_capacity_between_teams() {
+    let mut scene = Scene::new(4, &[team("a", &[]), team("b", &[])]);
+    let first: Vec<_> = (0..4).map(|_| scene.submit("a", spec(1, 8))).collect();
+    let second: Vec<_> = (0..4).map(|_| scene.submit("b", spec(1, 8))).collect();
+    scene.step();
+    let count = |jobs: &[JobId]| jobs.iter().filter(|job| scene.runs(**job)).count();
+    assert_eq!((count(&first), count(&second)), (2, 2));
+}
+
+/// Guards against a history that is forgotten as soon as the work ends.
+#[test]
+fn remembers_use_over_time() {
+    let mut scene = Scene::new(1, &[team("a", &[]), team("b", &[])]);
+    let earlier = scene.run("a", spec(1, 8), &[0]);
+    for _ in 0..60 {
+        scene.at += MINUTE;
+        scene.step();
+    }
+    scene.end(earlier);
+    scene.submit("a", spec(1, 8));
+    let other = scene.submit("b", spec(1, 8));
+    assert_eq!(placed(&scene.decide()), [other]);
+}
+
+/// Guards against a team's priorities that are ignored.
+#[test]
+fn orders_a_team_by_priority_then_age() {
+    let mut scene = Scene::new(1, &[team("a", &[])]);
+    let old = scene.submit("a", spec(1, 8));
+    scene.at += MINUTE;
+    scene.submit("a", spec(1, 8));
+    let high = scene.submit(
+        "a",
+        ServiceSpec {
+            priority: 1,
+            ..spec(1, 8)
+        },
+    );
+    assert_eq!(placed(&scene.step()), [high]);
+    scene.end(high);
+    assert_eq!(placed(&scene.step()), [old]);
+}
+
+/// Guards against a large gang that small work starves, and against work that passes it although
+/// it ends too late.
+#[test]
+fn keeps_workers_for_the_first_large_gang() {
+    let mut scene = Scene::new(2, &[team("a", &[]), team("b", &[])]);
+    scene.run("a", fixed(minutes(spec(1, 8), 60)), &[0]);
+    let gang = scene.submit("a", spec(2, 8));
+    scene.step();
+    let short = scene.submit("b", fixed(minutes(spec(1, 4), 60)));
+    let long = scene.submit("b", fixed(minutes(spec(1, 4), 90)));
+    assert_eq!(placed(&scene.step()), [short]);
+    let reason = &scene.memory.reasons[&long][0];
+    assert_eq!(
+        *reason,
+        format!("workers are reserved for job {gang}, and it might delay that job")
+    );
+}
+
+/// Guards against a passing job of a wrong estimate that holds the gang up for ever.
+#[test]
+fn stops_passing_work_when_the_gang_can_start() {
+    let mut scene = Scene::new(2, &[team("a", &[]), team("b", &[])]);
+    let blocker = scene.run("a", spec(1, 8), &[0]);
+    let gang = scene.submit("a", spec(2, 8));
+    scene.step();
+    scene.at += MINUTE;
+    let passing = scene.submit("b", minutes(spec(1, 4), 900));
+    assert_eq!(placed(&scene.step()), [passing]);
+    scene.at += 90 * MINUTE;
+    scene.end(blocker);
+    let decisions = scene.step();
+    let expected = PolicyDecision::Reclaim {
+        victim: passing,
+        claimant: gang,
+    };
+    assert_eq!(decisions, [expected]);
+    scene.at += 100;
+    scene.step();
+    assert!(scene.runs(gang));
+}
+
+/// Guards against estimates that repeat a declaration that is wrong by ten times.
+#[test]
+fn corrects_estimates_by_what_was_observed() {
+    let mut scene = Scene::new(2, &[team("a", &[]), team("b", &[])]);
+    let declared = order("b", fixed(minutes(spec(1, 4), 6)));
+    for number in 0..20 {
+        scene.memory.observe_end(&EndObservation {
+            at: ClockTime(scene.at),
+            job: JobId(1_000 + number),
+            order: &declared,
+            workers: &[worker(1)],
+            failed_on: &[],
+            progress: TimeSpan(120 * MINUTE),
+            end: ObservedEnd::Finished,
+        });
+    }
+    let expected = scene.memory.estimates.expected(&declared);
+    assert_eq!(expected, TimeSpan(120 * MINUTE));
+    scene.run("a", fixed(minutes(spec(1, 8), 60)), &[0]);
+    scene.submit("a", spec(2, 8));
+    scene.step();
+    scene.submit("b", declared.spec);
+    assert_eq!(
+        placed(&scene.step()),
+        [],
+        "it would pass by its declaration"
+    );
+}
+
+/// Guards against moves beyond the budget, and against a gang that waits behind two small jobs.
+#[test]
+fn moves_small_work_within_the_budget() {
+    let mut scene = Scene::new(8, &[team("a", &[]), team("b", &[])]);
+    scene.run("b", minutes(spec(1, 1), 600), &[0]);
+    scene.run("b", minutes(spec(1, 1), 600), &[4]);
+    scene.run("b", fixed(minutes(spec(1, 1), 600)), &[5]);
+    let rack = |spec| ServiceSpec {
+        adjacency: GangAdjacency::SameRack,
+        ..spec
+    };
+    let gang = scene.submit("a", rack(spec(4, 8)));
+    let decisions = scene.step();
+    assert!(
+        matches!(&decisions[..], [PolicyDecision::Move { .. }]),
+        "{decisions:?}"
+    );
+    scene.at += 100;
+    scene.step();
+    assert!(scene.runs(gang));
+    assert_eq!(scene.memory.moves.len(), 1);
+}
+
+/// Guards against small work on a whole rack while a broken one has room.
+#[test]
+fn keeps_whole_racks_whole() {
+    let mut scene = Scene::new(8, &[team("b", &[])]);
+    scene.run("b", spec(1, 4), &[6]);
+    let job = scene.submit("b", spec(1, 8));
+    let small = scene.submit("b", spec(1, 4));
+    scene.step();
+    assert_eq!(scene.workers_of(small), [worker(6)]);
+    let rack = |name: &WorkerName| scene.workers[name].info.rack.as_str().to_owned();
+    assert_eq!(rack(&scene.workers_of(job)[0]), "rack-1");
+}
+
+/// Guards against members in one failure domain when the team asked for a spread.
+#[test]
+fn spreads_over_domains_where_asked() {
+    let mut scene = Scene::new(16, &[team("b", &[])]);
+    let spread = ServiceSpec {
+        spread_domains: true,
+        ..spec(4, 8)
+    };
+    let job = scene.submit("b", spread.clone());
+    scene.step();
+    let workers = scene.workers_of(job);
+    let first = workers
+        .iter()
+        .filter(|name| scene.workers[*name].info.domain.as_str() == "domain-0");
+    assert_eq!(first.count(), 2);
+}
+
+/// Guards against a busy loop over a view in which nothing changed, and against never looking
+/// again.
+#[test]
+fn skips_a_view_without_change() {
+    let mut scene = Scene::new(1, &[team("b", &[])]);
+    scene.run("b", spec(1, 8), &[0]);
+    let job = scene.submit("b", spec(1, 8));
+    scene.step();
+    scene.memory.reasons.clear();
+    scene.at += 1_000;
+    scene.step();
+    assert!(
+        scene.memory.reasons.is_empty(),
+        "the second look is skipped"
+    );
+    scene.at += 5_000;
+    scene.step();
+    assert!(scene.memory.reasons.contains_key(&job));
+}
+
+/// Guards against baselines that do not differ from each other.
+#[test]
+fn baselines_keep_their_order() {
+    let mut scene = Scene::new(1, &[team("a", &[]), team("b", &[])]);
+    let first = scene.submit("a", spec(1, 8));
+    let high = scene.submit(
+        "b",
+        ServiceSpec {
+            priority: 5,
+            ..spec(1, 8)
+        },
+    );
+    scene.kind = PolicyKind::FirstFit;
+    assert_eq!(placed(&scene.decide()), [first]);
+    scene.kind = PolicyKind::StrictPriority;
+    assert_eq!(placed(&scene.decide()), [high]);
+}
