Test a gang through real sockets

Cause: no test ran the daemon's threads against the stand-ins.

Change: three daemons, log, VM list and workers over loopback ports that the system chooses. The test found that a GET went out without its headers, so that reading the configuration was forbidden; headers are now set on both methods.

Ruled out: a fault in the reducer's check of keys; the digest was missing.

Conclusion: submit, place, run, report and read at another daemon work end to end.

--- a/src/http_client.rs
+++ b/src/http_client.rs
@@ -8,6 +8,7 @@
 use ureq::Agent;
 use ureq::Body;
 use ureq::Error;
+use ureq::RequestBuilder;
 use ureq::Timeout;
 use ureq::http::Response;
 
@@ -136,31 +137,28 @@
 
 fn send(agent: &Agent, call: &HttpCall<'_>) -> Result<Response<Body>, Error> {
     let url = format!("http://{}{}", call.address, call.path);
-    let limit = Some(call.timeout);
     match call.body {
-        Some(body) => {
-            let mut request = agent.post(&url);
-            for (name, value) in call.headers {
-                request = request.header(*name, value);
-            }
-            request
-                .config()
-                .timeout_connect(Some(CONNECT.min(call.timeout)))
-                .timeout_send_body(limit)
-                .timeout_recv_response(limit)
-                .timeout_global(limit)
-                .build()
-                .send(body)
-        }
-        None => agent
-            .get(&url)
-            .config()
-            .timeout_connect(Some(CONNECT.min(call.timeout)))
-            .timeout_recv_response(limit)
-            .timeout_global(limit)
-            .build()
-            .call(),
+        Some(body) => timed(with_headers(agent.post(&url), call), call).send(body),
+        None => timed(with_headers(agent.get(&url), call), call).call(),
+    }
+}
+
+fn with_headers<B>(mut request: RequestBuilder<B>, call: &HttpCall<'_>) -> RequestBuilder<B> {
+    for (name, value) in call.headers {
+        request = request.header(*name, value);
     }
+    request
+}
+
+fn timed<B>(request: RequestBuilder<B>, call: &HttpCall<'_>) -> RequestBuilder<B> {
+    let limit = Some(call.timeout);
+    request
+        .config()
+        .timeout_connect(Some(CONNECT.min(call.timeout)))
+        .timeout_send_body(limit)
+        .timeout_recv_response(limit)
+        .timeout_global(limit)
+        .build()
 }
 
 fn read(mut response: Response<Body>, limit: u64) -> Result<HttpReply, Error> {
--- /dev/null
+++ b/tests/whole_path.rs
@@ -0,0 +1,64 @@
+//! The whole path through real sockets: callers, daemons, log, VM list and workers.
+
+mod bench;
+
+use bench::PATIENCE;
+use bench::TestBench;
+use bench::until;
+
+use mustardpath::local_cluster;
+use mustardpath::standin_platform::PlatformCall;
+use mustardpath_core::effect::CallerAnswer;
+use mustardpath_core::effect::JobEnd;
+use mustardpath_core::effect::JobView;
+
+fn submit(bench: &TestBench, daemon: usize, key: &str) -> JobView {
+    let mut caller = bench.caller(daemon);
+    let body = r#"{ "service": "analysis", "payload": "{\"run_ms\": 200, \"result\": \"dune\"}" }"#;
+    let headers = [("Idempotency-Key", key.to_string())];
+    until("the job is accepted", || {
+        let reply = caller.post("/v1/jobs", &headers, body.as_bytes(), PATIENCE);
+        match local_cluster::decode_answer(reply) {
+            Ok(CallerAnswer::Job(job)) => Some(job),
+            _ => None,
+        }
+    })
+}
+
+fn wait_for_end(bench: &TestBench, daemon: usize, job: &JobView) -> JobEnd {
+    let mut caller = bench.caller(daemon);
+    let path = format!("/v1/jobs/{}?wait=5000", job.job);
+    until("the job ends", || {
+        match local_cluster::decode_answer(caller.get(&path, PATIENCE)) {
+            Ok(CallerAnswer::Job(job)) => job.end,
+            _ => None,
+        }
+    })
+}
+
+/// Guards against a break anywhere between a caller's socket and a worker's: a gang is submitted
+/// at one daemon, runs, and its result is read at another one; a repeated key gives the same job.
+#[test]
+fn a_gang_runs_and_each_daemon_knows_its_end() {
+    let bench = TestBench::start();
+    let job = submit(&bench, 0, "analysis-1");
+    let result = wait_for_end(&bench, 1, &job);
+    assert_eq!(
+        result,
+        JobEnd::Finished {
+            result: "dune".into()
+        }
+    );
+    let again = submit(&bench, 2, "analysis-1");
+    assert_eq!(again.job, job.job);
+    assert!(again.duplicate);
+    let (reply, replies) = crossbeam_channel::bounded(1);
+    bench
+        .cluster
+        .platform
+        .send(PlatformCall::Outcome { reply })
+        .expect("stand-ins");
+    let (report, starts) = replies.recv().expect("report");
+    assert_eq!(report.lines(), Vec::<String>::new());
+    assert_eq!(starts, 2, "both members of the gang started once");
+}
