Run a whole deployment in one process

Cause: a deployment could not be tried on one machine.

Ruled out: keys in the deployment file; the examples' keys follow from the team's name and are checked against the digests.

--- a/src/bin/mustardpathd.rs
+++ b/src/bin/mustardpathd.rs
@@ -26,7 +26,7 @@
     logs::init(LevelFilter::Info);
     let settings = settings_file::read_settings(&options.settings)?;
     let daemon = RunningDaemon::start(settings)?;
-    signals::spawn(daemon.events())?;
+    signals::spawn(daemon.stop_handle())?;
     daemon.wait();
     Ok(())
 }
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -16,6 +16,7 @@
 use crate::gate;
 use crate::gate::GateContext;
 use crate::gate::GatePhase;
+use crate::gate::GateSwitch;
 use crate::gate::GateThread;
 use crate::log_client;
 use crate::log_client::LogContext;
@@ -42,11 +43,29 @@
     /// The settings with the addresses that the system chose.
     pub settings: Arc<DaemonSettings>,
     events: EventSender,
+    exchanges: Arc<ExchangeTable>,
     control: JoinHandle<()>,
     server: CallerServer,
     gate: GateThread,
 }
 
+/// Starts the graceful shutdown of a daemon.
+#[derive(Clone)]
+pub struct StopHandle {
+    events: EventSender,
+    gate: GateSwitch,
+}
+
+impl StopHandle {
+    /// Turns readiness off and lets open work finish. Answers tell callers to close from now on.
+    pub fn drain(&self) {
+        self.gate.enter(GatePhase::Draining);
+        let level = ShutdownLevel::Drain;
+        // The control thread has ended already when the channel is closed.
+        let _ = self.events.blocking_send(EventInput::Shutdown { level });
+    }
+}
+
 impl RunningDaemon {
     /// Starts a daemon. Port 0 in an address of the settings leaves the choice to the system.
     ///
@@ -82,7 +101,7 @@
             server: server.address,
             connections: limit,
             request_bytes: 4 * body_limit(&settings) + HEAD_BYTES,
-            exchanges,
+            exchanges: Arc::clone(&exchanges),
             events: events.clone(),
         })?;
         let state = DaemonState::new(DaemonSettings::clone(&settings), incarnation);
@@ -90,32 +109,32 @@
         Ok(Self {
             settings,
             events,
+            exchanges,
             control,
             server,
             gate,
         })
     }
 
-    /// Returns a sender for events from outside, such as signals.
+    /// Returns a handle that starts the graceful shutdown from another thread.
     #[must_use]
-    pub fn events(&self) -> EventSender {
-        self.events.clone()
-    }
-
-    /// Starts the graceful shutdown.
-    pub fn drain(&self) {
-        let level = ShutdownLevel::Drain;
-        // The control thread has ended already when the channel is closed.
-        let _ = self.events.blocking_send(EventInput::Shutdown { level });
+    pub fn stop_handle(&self) -> StopHandle {
+        StopHandle {
+            events: self.events.clone(),
+            gate: self.gate.switch(),
+        }
     }
 
     /// Waits until the control thread ends, then until each answer is with its caller.
     pub fn wait(self) {
         // A panic of the control thread ends the process as well, after the answers.
         let _ = self.control.join();
-        self.gate.enter(GatePhase::Draining);
+        // Nobody answers the exchanges that are still open.
+        self.exchanges.close_all();
+        // New connections are refused first, so that the server runs out of requests.
+        self.gate.switch().enter(GatePhase::Closing);
         self.server.finish();
-        self.gate.close();
+        self.gate.join();
     }
 }
 
--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -185,6 +185,13 @@
         self.remove(caller).is_some()
     }
 
+    /// Closes all exchanges without a reply, so that their threads stop waiting.
+    pub fn close_all(&self) {
+        let mut state = self.lock();
+        state.entries.clear();
+        state.held = 0;
+    }
+
     /// Closes the exchanges of a connection and returns their numbers.
     pub fn close_connection(&self, connection: u16) -> Vec<CallerId> {
         let callers: Vec<CallerId> = self
--- a/src/gate.rs
+++ b/src/gate.rs
@@ -74,19 +74,32 @@
 
 /// The running gate.
 pub struct GateThread {
-    phase: watch::Sender<GatePhase>,
+    phase: GateSwitch,
     thread: JoinHandle<()>,
 }
 
-impl GateThread {
-    /// Moves to a later phase.
+/// Moves the gate to a later phase.
+#[derive(Clone)]
+pub struct GateSwitch {
+    phase: watch::Sender<GatePhase>,
+}
+
+impl GateSwitch {
+    /// Moves to a phase.
     pub fn enter(&self, phase: GatePhase) {
         self.phase.send_replace(phase);
     }
+}
+
+impl GateThread {
+    /// Returns a switch of the gate.
+    #[must_use]
+    pub fn switch(&self) -> GateSwitch {
+        self.phase.clone()
+    }
 
-    /// Closes the gate and waits until each connection is closed.
-    pub fn close(self) {
-        self.enter(GatePhase::Closing);
+    /// Waits until the gate is closing and each connection is closed.
+    pub fn join(self) {
         // A panic of the gate has ended its connections already.
         let _ = self.thread.join();
     }
@@ -109,6 +122,7 @@
             Err(error) => log::warn!("process: the gate has stopped: {error}"),
         }
     })?;
+    let phase = GateSwitch { phase };
     Ok(GateThread { phase, thread })
 }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -20,6 +20,8 @@
 pub mod http_client;
 pub mod job_command;
 pub mod local_cluster;
+pub mod local_load;
+pub mod local_run;
 pub mod log_client;
 pub mod logs;
 pub mod metrics;
--- a/src/local_cluster.rs
+++ b/src/local_cluster.rs
@@ -171,6 +171,12 @@
         }
     }
 
+    /// Returns the address of the daemon that is asked.
+    #[must_use]
+    pub fn address(&self) -> &str {
+        &self.address
+    }
+
     /// Turns to another daemon.
     pub fn turn_to(&mut self, address: &str) {
         self.address = address.into();
--- /dev/null
+++ b/src/local_run.rs
@@ -0,0 +1,353 @@
+//! A run of a whole deployment in one process: load, changes by operators, and the count of
+//! broken promises.
+
+use std::io;
+use std::path::Path;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use crossbeam_channel::Receiver;
+use crossbeam_channel::RecvTimeoutError;
+use crossbeam_channel::Sender;
+use indexmap::IndexMap;
+use serde::Serialize;
+
+use mustardpath_core::collection;
+use mustardpath_core::collection::CheckBounds;
+use mustardpath_core::collection::SourceFile;
+use mustardpath_core::config::KeyDigest;
+use mustardpath_core::config::TeamFile;
+use mustardpath_core::ids::TeamName;
+use mustardpath_standin::checker::OutcomeReport;
+
+use crate::daemon::RunningDaemon;
+use crate::deployment;
+use crate::deployment::DeploymentPlan;
+use crate::local_cluster::CallerClient;
+use crate::local_cluster::ClusterTuning;
+use crate::local_cluster::LocalCluster;
+use crate::local_load;
+use crate::local_load::LoadCaller;
+use crate::local_load::LoadEvent;
+use crate::standin_platform::OutcomeNote;
+use crate::standin_platform::PlatformCall;
+use crate::standin_platform::PlatformSender;
+use crate::tree;
+
+/// Time over which the mix is sent.
+const SPREAD: Duration = Duration::from_secs(22);
+
+/// Time after which work without an answer counts as lost. The run ends within a minute.
+const LONGEST_LOAD: Duration = Duration::from_secs(45);
+
+/// Longest time until the daemons take work.
+const READY_TIME: Duration = Duration::from_secs(10);
+
+/// Time from the start of the load until the failure domain goes out.
+const TAKE_OUT: Duration = Duration::from_secs(5);
+
+/// Time for which the failure domain stays out.
+const OUT_TIME: Duration = Duration::from_secs(6);
+
+/// Time from the return of the failure domain until a daemon is stopped.
+const STOP_AFTER: Duration = Duration::from_secs(3);
+
+/// Time between two lines of progress.
+const PROGRESS: Duration = Duration::from_secs(2);
+
+/// Pause between two tries while the daemons start.
+const START_PAUSE: Duration = Duration::from_millis(200);
+
+/// The result of a run. Broken promises are counted by the stand-in workers and the callers.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct RunSummary {
+    /// The deployment.
+    pub deployment: String,
+    /// Jobs and requests that were accepted.
+    pub accepted: u64,
+    /// Accepted jobs and requests with their final answer.
+    pub answered: u64,
+    /// Accepted jobs and requests whose final answer is that the outcome is unknown.
+    pub unknown: u64,
+    /// Jobs and requests that were refused as "not run".
+    pub refused: u64,
+    /// Connections that failed after a byte was sent.
+    pub broken_connections: u64,
+    /// Tasks that started on workers.
+    pub tasks: usize,
+    /// Run time in seconds.
+    pub seconds: u64,
+    /// Starts in a failure domain that was out of service.
+    pub late_starts: usize,
+    /// Workers whose capacity was used twice.
+    pub over_capacity: usize,
+    /// Work that ran although its caller was told that it had not.
+    pub false_refusals: usize,
+    /// Work without a final answer.
+    pub lost: usize,
+    /// Work that may not be repeated and ran twice.
+    pub run_twice: usize,
+    /// Gangs that ran in part for longer than the bound.
+    pub partial_gangs: usize,
+    /// Answers that belong to other work.
+    pub wrong_answers: usize,
+}
+
+impl RunSummary {
+    /// Tells whether each promise was kept.
+    #[must_use]
+    pub const fn is_clean(&self) -> bool {
+        self.late_starts == 0
+            && self.over_capacity == 0
+            && self.false_refusals == 0
+            && self.lost == 0
+            && self.run_twice == 0
+            && self.partial_gangs == 0
+            && self.wrong_answers == 0
+    }
+
+    fn add(&mut self, event: LoadEvent) {
+        match event {
+            LoadEvent::Accepted => self.accepted += 1,
+            LoadEvent::Answered => self.answered += 1,
+            LoadEvent::Unknown => self.unknown += 1,
+            LoadEvent::BrokenConnection { line } => {
+                self.broken_connections += 1;
+                log::warn!("broken connection: {line}");
+            }
+            LoadEvent::Refused { reason } => {
+                self.refused += 1;
+                log::warn!("refused: {reason}");
+            }
+            LoadEvent::Unanswered { key } => {
+                self.lost += 1;
+                log::warn!("no final answer: {key}");
+            }
+            LoadEvent::Step { line } => log::info!("{line}"),
+        }
+    }
+
+    fn add_report(&mut self, report: &OutcomeReport) {
+        for line in report.lines() {
+            log::warn!("{line}");
+        }
+        // A job that its caller saw no end of is counted already.
+        self.lost = self.lost.max(report.lost.len());
+        self.late_starts = report.late_starts.len();
+        self.over_capacity = report.over_capacity.len();
+        self.false_refusals = report.false_refusals.len();
+        self.run_twice = report.run_twice.len();
+        self.partial_gangs = report.partial_gangs.len();
+        self.wrong_answers = report.wrong_answers.len();
+    }
+}
+
+/// Runs the deployment of a folder.
+///
+/// # Errors
+///
+/// Returns a message when the folder's files are wrong or the deployment does not start.
+pub fn run(folder: &Path) -> io::Result<RunSummary> {
+    let start = Instant::now();
+    let plan = deployment::read(&folder.join("deployment.json"))?;
+    let teams = read_teams(folder)?;
+    let mut cluster = LocalCluster::start(&plan, &ClusterTuning::default())?;
+    log::info!(
+        "{}: {} workers and {} daemons are up",
+        plan.deployment,
+        cluster.addresses.workers.len(),
+        cluster.daemons.len()
+    );
+    publish(&cluster, &teams)?;
+    let (events, received) = crossbeam_channel::unbounded();
+    start_callers(&plan, &teams, &cluster, &events)?;
+    start_operator(&plan, &mut cluster, events)?;
+    let mut summary = RunSummary {
+        deployment: plan.deployment.clone(),
+        ..RunSummary::default()
+    };
+    follow(&mut summary, &received);
+    let (report, tasks) = ask_outcome(&cluster.platform)?;
+    summary.add_report(&report);
+    summary.tasks = tasks;
+    summary.seconds = start.elapsed().as_secs();
+    Ok(summary)
+}
+
+fn read_teams(folder: &Path) -> io::Result<IndexMap<TeamName, TeamFile>> {
+    let invalid = |lines: Vec<String>| io::Error::new(io::ErrorKind::InvalidData, lines.join("\n"));
+    let files = tree::collect(folder).map_err(invalid)?;
+    let sources: Vec<SourceFile<'_>> = files
+        .iter()
+        .map(|(name, bytes)| SourceFile { name, bytes })
+        .collect();
+    let teams = collection::check(&sources, &CheckBounds::default())
+        .map_err(|problems| invalid(problems.iter().map(ToString::to_string).collect()))?;
+    for (name, team) in &teams {
+        if team.key_sha256 != KeyDigest::of(&example_key(name)) {
+            return Err(invalid(vec![format!("{name}: the key is not the example's")]));
+        }
+    }
+    Ok(teams)
+}
+
+/// Returns the key of a team of the examples, whose files hold its digest.
+fn example_key(team: &TeamName) -> String {
+    format!("{team}-example-key")
+}
+
+fn publish(cluster: &LocalCluster, teams: &IndexMap<TeamName, TeamFile>) -> io::Result<()> {
+    let deadline = Instant::now() + READY_TIME;
+    let addresses = cluster.caller_addresses();
+    for address in &addresses {
+        let mut operator = cluster.operator(address);
+        while !operator.is_ready() {
+            if Instant::now() > deadline {
+                return Err(io::Error::other(format!("{address} is not ready")));
+            }
+            thread::sleep(START_PAUSE);
+        }
+    }
+    let teams: Vec<TeamFile> = teams.values().cloned().collect();
+    let mut operator = cluster.operator(&addresses[0]);
+    loop {
+        match operator.publish(&teams) {
+            Ok(version) => {
+                log::info!("configuration {version} is in force");
+                return Ok(());
+            }
+            // Guarantees fit once the workers have answered their fence.
+            Err(error) if Instant::now() > deadline => return Err(error),
+            Err(_) => thread::sleep(START_PAUSE),
+        }
+    }
+}
+
+fn start_callers(
+    plan: &DeploymentPlan,
+    teams: &IndexMap<TeamName, TeamFile>,
+    cluster: &LocalCluster,
+    events: &Sender<LoadEvent>,
+) -> io::Result<()> {
+    for work in &plan.mix {
+        let spec = teams
+            .get(&work.team)
+            .and_then(|team| team.services.get(&work.service))
+            .ok_or_else(|| {
+                io::Error::other(format!("{}: no service {}", work.team, work.service))
+            })?;
+        for number in 0..work.callers {
+            let mut addresses = cluster.caller_addresses();
+            let turn = number as usize % addresses.len();
+            addresses.rotate_left(turn);
+            local_load::spawn(LoadCaller {
+                plan: work.clone(),
+                spec: spec.clone(),
+                number,
+                key: example_key(&work.team),
+                addresses,
+                spread: SPREAD,
+                deadline: Instant::now() + LONGEST_LOAD,
+                platform: cluster.platform.clone(),
+                events: events.clone(),
+            })?;
+        }
+    }
+    Ok(())
+}
+
+/// The operator of a run: takes a failure domain out and back and stops a daemon under load.
+struct RunOperator {
+    client: CallerClient,
+    domain: String,
+    stopped: RunningDaemon,
+    platform: PlatformSender,
+    events: Sender<LoadEvent>,
+}
+
+fn start_operator(
+    plan: &DeploymentPlan,
+    cluster: &mut LocalCluster,
+    events: Sender<LoadEvent>,
+) -> io::Result<()> {
+    let stopped = cluster
+        .take_daemon(&plan.stop)
+        .ok_or_else(|| io::Error::other(format!("{}: no such daemon", plan.stop)))?;
+    let operator = RunOperator {
+        client: cluster.operator(&cluster.caller_addresses()[0]),
+        domain: plan.take_out.to_string(),
+        stopped,
+        platform: cluster.platform.clone(),
+        events,
+    };
+    thread::Builder::new()
+        .name("operator".into())
+        .spawn(move || operator.run())?;
+    Ok(())
+}
+
+impl RunOperator {
+    fn run(mut self) {
+        thread::sleep(TAKE_OUT);
+        self.set_domain(true);
+        thread::sleep(OUT_TIME);
+        self.set_domain(false);
+        thread::sleep(STOP_AFTER);
+        let name = self.stopped.settings.daemon.clone();
+        self.tell(format!("{name} is being stopped"));
+        self.stopped.stop_handle().drain();
+        self.stopped.wait();
+        let line = format!("{name} has stopped");
+        // The run has ended by its deadline when the channel is closed.
+        let _ = self.events.send(LoadEvent::Step { line });
+    }
+
+    fn set_domain(&mut self, out: bool) {
+        let state = if out { "out" } else { "back" };
+        match self.client.set_domain(&self.domain, out) {
+            Ok(_) => {
+                let domain = self.domain.as_str().into();
+                let note = OutcomeNote::Domain { domain, out };
+                // The stand-ins run until the process ends.
+                let _ = self.platform.send(PlatformCall::Note(note));
+                self.tell(format!("{} is {state}", self.domain));
+            }
+            Err(error) => self.tell(format!("{} is not {state}: {error}", self.domain)),
+        }
+    }
+
+    fn tell(&self, line: String) {
+        // The run has ended by its deadline when the channel is closed.
+        let _ = self.events.send(LoadEvent::Step { line });
+    }
+}
+
+/// Takes events until all callers and the operator have ended.
+fn follow(summary: &mut RunSummary, events: &Receiver<LoadEvent>) {
+    let mut next = Instant::now() + PROGRESS;
+    loop {
+        match events.recv_deadline(next) {
+            Ok(event) => summary.add(event),
+            Err(RecvTimeoutError::Disconnected) => return,
+            Err(RecvTimeoutError::Timeout) => {
+                log::info!(
+                    "accepted {}, answered {}, unknown {}, refused {}",
+                    summary.accepted,
+                    summary.answered,
+                    summary.unknown,
+                    summary.refused
+                );
+                next = Instant::now() + PROGRESS;
+            }
+        }
+    }
+}
+
+fn ask_outcome(platform: &PlatformSender) -> io::Result<(OutcomeReport, usize)> {
+    let (reply, replies) = crossbeam_channel::bounded(1);
+    platform
+        .send(PlatformCall::Outcome { reply })
+        .map_err(|_| io::Error::other("the stand-ins have ended"))?;
+    replies.recv().map_err(io::Error::other)
+}
--- a/src/signals.rs
+++ b/src/signals.rs
@@ -8,9 +8,7 @@
 use signal_hook::consts::SIGTERM;
 use signal_hook::iterator::Signals;
 
-use crate::control::EventSender;
-use mustardpath_core::event::EventInput;
-use mustardpath_core::event::ShutdownLevel;
+use crate::daemon::StopHandle;
 
 /// Exit status after a second signal, which interrupts open work.
 const INTERRUPTED: i32 = 1;
@@ -20,16 +18,14 @@
 /// # Errors
 ///
 /// Returns the system's error when the signals or the thread cannot be set up.
-pub fn spawn(events: EventSender) -> io::Result<()> {
+pub fn spawn(stop: StopHandle) -> io::Result<()> {
     let mut signals = Signals::new([SIGTERM, SIGINT])?;
     thread::Builder::new()
         .name("signals".into())
         .spawn(move || {
             let mut received = signals.forever();
             if received.next().is_some() {
-                let level = ShutdownLevel::Drain;
-                // The control thread has ended already when the channel is closed.
-                let _ = events.blocking_send(EventInput::Shutdown { level });
+                stop.drain();
             }
             if received.next().is_some() {
                 process::exit(INTERRUPTED);
