Bring failure domains back before a cell of the fault matrix settles

Cause: cell "TakeOut, daemon killed after, twice" reported job 5 as lost after the policy was merged. Its trace shows that the second round takes out ct-a, to which the gang had moved from sg-a. The gang needs three whole workers of one region, and hn-a has two, so the job has to wait until an operator brings a domain back.

Ruled out: a fault of recovery. Both attempts end as Lost and Preempted with their checkpoint, and the job is queued at the end.

Change: the operator brings every domain back, with retries because a daemon that has just restarted refuses, and the job still has to end. The check itself is unchanged.

Conclusion: the cell asks for what the promises say.

--- a/tests/cells/mod.rs
+++ b/tests/cells/mod.rs
@@ -167,6 +167,7 @@
             None => {}
         }
     }
+    scene::bring_all_back(&mut run);
     run.settle();
     broken.extend(run.broken(step.spares_work() && fault.spares_work()));
     (broken, run.driver.trace().to_vec())
--- a/tests/cells/scene.rs
+++ b/tests/cells/scene.rs
@@ -2,6 +2,7 @@
 
 use indexmap::IndexMap;
 
+use super::CellRun;
 use mustardpath_core::config::GangAdjacency;
 use mustardpath_core::config::KeyDigest;
 use mustardpath_core::config::ResourceDemand;
@@ -39,6 +40,11 @@
 /// Tries of the operator who publishes the team file; a refusal advises to try again.
 const PUBLISH_TRIES: u32 = 5;
 
+/// Tries of the operator who brings failure domains back, and the time between two of them. A
+/// daemon that has just restarted refuses until it has read the log.
+const BRING_BACK_TRIES: u32 = 10;
+const BRING_BACK_INTERVAL: TimeSpan = TimeSpan::from_secs(2);
+
 /// Seed of the cells: one fixed run each.
 const SEED: u64 = 20_261_204;
 
@@ -197,6 +203,22 @@
     driver.send(daemon, operator_credential(), command, b"")
 }
 
+/// Brings back all failure domains that are out. With both domains of a region out, no worker is
+/// left that could hold the gang, and it waits until one returns.
+pub fn bring_all_back(run: &mut CellRun) {
+    for _ in 0..BRING_BACK_TRIES {
+        let domains = run.driver.ledger().domains.clone();
+        let out: Vec<_> = domains.iter().filter(|(_, state)| state.out).collect();
+        if out.is_empty() {
+            return;
+        }
+        for (domain, _) in out {
+            set_domain(&mut run.driver, domain.as_str(), false);
+        }
+        run.advance(BRING_BACK_INTERVAL);
+    }
+}
+
 /// Cancels the gang, when it is on record.
 pub fn cancel_gang(driver: &mut SimDriver) {
     let mut jobs = driver.ledger().jobs.iter();
