Test that the guarantees of the examples fit

Ruled out: a sum of accelerators; shapes in one rack fail on racks first.

Change: the test lays out the guarantees of both deployments on 50 workers in racks of 8, and again without each failure domain.

Conclusion: the examples can be published, and each failure domain can go out without a broken guarantee.

--- a/tests/examples.rs
+++ b/tests/examples.rs
@@ -1,8 +1,10 @@
 //! The files under `examples`: they are read by people first, so they have to stay true.
 
+use std::collections::BTreeSet;
 use std::fs;
 use std::path::PathBuf;
 
+use indexmap::IndexMap;
 use serde_json::Value;
 
 use mustardpath::tree;
@@ -11,9 +13,16 @@
 use mustardpath_core::collection::check;
 use mustardpath_core::config::KeyDigest;
 use mustardpath_core::config::ResourceDemand;
+use mustardpath_core::config::TeamFile;
+use mustardpath_core::guarantee::check_config;
+use mustardpath_core::ids::TeamName;
+use mustardpath_core::ids::WorkerName;
+use mustardpath_core::policy::WorkerSlot;
 use mustardpath_core::settings;
 use mustardpath_core::settings::LimitSettings;
 use mustardpath_core::settings::TimingSettings;
+use mustardpath_core::worker::VmState;
+use mustardpath_core::worker::WorkerInfo;
 
 const DEPLOYMENTS: [&str; 2] = ["thanh-lam", "cordillera"];
 
@@ -43,16 +52,20 @@
     }
 }
 
+fn teams(deployment: &str) -> IndexMap<TeamName, TeamFile> {
+    let files = tree::collect(&example(deployment)).expect("the files can be read");
+    let sources: Vec<_> = files
+        .iter()
+        .map(|(name, bytes)| SourceFile { name, bytes })
+        .collect();
+    check(&sources, &bounds(deployment)).expect("the files have no mistake")
+}
+
 /// Guards against examples that the checks refuse or whose keys differ from the documented ones.
 #[test]
 fn team_files_are_valid() {
     for deployment in DEPLOYMENTS {
-        let files = tree::collect(&example(deployment)).expect("the files can be read");
-        let sources: Vec<_> = files
-            .iter()
-            .map(|(name, bytes)| SourceFile { name, bytes })
-            .collect();
-        let teams = check(&sources, &bounds(deployment)).expect("the files have no mistake");
+        let teams = teams(deployment);
         assert_eq!(teams.len(), 4, "{deployment}");
         for (name, team) in &teams {
             let key = KeyDigest::of(&format!("{name}-example-key"));
@@ -61,6 +74,78 @@
     }
 }
 
+/// Returns the workers of a deployment: three failure domains with racks of 8, 50 in all.
+fn workers(deployment: &str) -> IndexMap<WorkerName, WorkerSlot> {
+    let domains = match deployment {
+        "thanh-lam" => [("south", "sg-a"), ("south", "ct-a"), ("north", "hn-a")],
+        _ => [
+            ("bogota", "bogota-a"),
+            ("bogota", "bogota-b"),
+            ("medellin", "medellin-a"),
+        ],
+    };
+    let mut workers = IndexMap::new();
+    for (domain, count) in domains.into_iter().zip([17, 17, 16]) {
+        for number in 0..count {
+            let slot = worker(deployment, domain, number);
+            workers.insert(slot.info.worker.clone(), slot);
+        }
+    }
+    workers
+}
+
+fn worker(deployment: &str, (region, domain): (&str, &str), number: u32) -> WorkerSlot {
+    let offered = bounds(deployment).worker;
+    WorkerSlot {
+        info: WorkerInfo {
+            worker: format!("{domain}-w{number}").as_str().into(),
+            address: String::new(),
+            region: region.into(),
+            domain: domain.into(),
+            rack: format!("{domain}-r{}", number / 8).as_str().into(),
+            capacity: ResourceDemand {
+                slots: 8,
+                ..offered
+            },
+            connections: 64,
+            state: VmState::Live,
+        },
+        free: offered,
+        offered,
+        usable: true,
+        domain_out: false,
+    }
+}
+
+/// Guards against examples whose guarantees the daemon refuses, or that are broken by the loss of
+/// one failure domain.
+#[test]
+fn guarantees_fit_without_any_one_failure_domain() {
+    for deployment in DEPLOYMENTS {
+        let teams = teams(deployment);
+        let workers = workers(deployment);
+        assert_eq!(workers.len(), 50);
+        assert_eq!(check_config(&teams, &workers), Ok(()), "{deployment}");
+        let domains: BTreeSet<_> = workers.values().map(|slot| &slot.info.domain).collect();
+        assert_eq!(domains.len(), 3);
+        for domain in domains {
+            let mut rest = workers.clone();
+            rest.retain(|_, slot| slot.info.domain != *domain);
+            assert_eq!(
+                check_config(&teams, &rest),
+                Ok(()),
+                "{deployment} without {domain}"
+            );
+        }
+        let mut few = workers.clone();
+        few.truncate(7);
+        assert!(
+            check_config(&teams, &few).is_err(),
+            "7 workers hold no rack of 8"
+        );
+    }
+}
+
 fn keys(value: &Value) -> Vec<String> {
     let object = value.as_object().expect("the value is an object");
     object.keys().cloned().collect()
