--- a/src/bin/mustardpathd.rs
+++ b/src/bin/mustardpathd.rs
@@ -26,6 +26,12 @@
     logs::init(LevelFilter::Info);
     let settings = settings_file::read_settings(&options.settings)?;
     let daemon = RunningDaemon::start(settings)?;
+    let settings = &daemon.settings;
+    log::info!(
+        "process: callers at {}, peers at {}",
+        settings.caller_address,
+        settings.peer_address
+    );
     signals::spawn(daemon.events())?;
     daemon.wait();
     Ok(())
