--- a/core/src/member.rs
+++ b/core/src/member.rs
@@ -28,7 +28,7 @@
     pub info: DaemonInfo,
     /// Its last heartbeat.
     pub heartbeat: Option<PeerHeartbeat>,
-    /// When the last heartbeat arrived.
+    /// When the last heartbeat arrived, or when the list named the daemon first.
     pub heard_at: ClockTime,
 }
 
@@ -265,7 +265,7 @@
     state.members.vm_version = *version;
     for info in daemons {
         if info.daemon != state.settings.daemon {
-            update_daemon(state, info);
+            update_daemon(state, info, context.at);
         }
     }
     for info in workers {
@@ -277,14 +277,14 @@
     }
 }
 
-fn update_daemon(state: &mut DaemonState, info: &DaemonInfo) {
+fn update_daemon(state: &mut DaemonState, info: &DaemonInfo, at: ClockTime) {
     match state.members.daemons.get_mut(&info.daemon) {
         Some(entry) => entry.info = info.clone(),
         None => {
             let entry = DaemonEntry {
                 info: info.clone(),
                 heartbeat: None,
-                heard_at: ClockTime::default(),
+                heard_at: at,
             };
             state.members.daemons.insert(info.daemon.clone(), entry);
         }
--- /dev/null
+++ b/core/src/quota.rs
@@ -0,0 +1,53 @@
+//! Division of limits that hold over all daemons among the live ones.
+
+use std::hash::Hasher;
+
+use twox_hash::XxHash64;
+
+use crate::ids::DaemonName;
+use crate::state::DaemonState;
+use crate::units::ClockTime;
+use crate::worker::VmState;
+
+/// Returns the daemons that limits are divided among, in order of their names.
+///
+/// Draining daemons count until they are silent, because they still finish requests. A daemon that
+/// the VM list names counts for the length of a silence before its first heartbeat, so a process
+/// that has just started does not take the whole limit for itself.
+#[must_use]
+pub fn sharing_daemons(state: &DaemonState, at: ClockTime) -> Vec<&DaemonName> {
+    let silence = state.settings.timing.daemon_silence;
+    let others = state.members.daemons.iter();
+    let mut sharing: Vec<&DaemonName> = others
+        .filter(|(_, entry)| at.since(entry.heard_at) <= silence)
+        .filter(|(_, entry)| entry.heartbeat.is_some() || entry.info.state == VmState::Live)
+        .map(|(daemon, _)| daemon)
+        .chain(std::iter::once(&state.settings.daemon))
+        .collect();
+    sharing.sort();
+    sharing
+}
+
+/// Returns the part of `total` that `own` holds: the whole part of the quotient, and one of the
+/// remainder when it ranks early enough by rendezvous hash for `label`. The parts of all daemons
+/// with the same view add up to `total`.
+#[must_use]
+pub fn part(total: u32, daemons: &[DaemonName], own: &DaemonName, label: &str) -> u32 {
+    let count = u32::try_from(daemons.len()).unwrap_or(u32::MAX).max(1);
+    let score = |daemon: &DaemonName| (score(daemon, label), daemon.clone());
+    let own_score = score(own);
+    let ahead = daemons
+        .iter()
+        .filter(|daemon| score(daemon) > own_score)
+        .count();
+    let extra = ahead < (total % count) as usize;
+    total / count + u32::from(extra)
+}
+
+fn score(daemon: &DaemonName, label: &str) -> u64 {
+    let mut hasher = XxHash64::with_seed(0);
+    hasher.write(daemon.as_str().as_bytes());
+    hasher.write_u8(0);
+    hasher.write(label.as_bytes());
+    hasher.finish()
+}
