Serve short requests through the reducer

Cause: request::start refused everything. Change: request holds the life of a request (checks, table, deadline, caller gone, drain), limit the concurrency, rate and fair queue of each team, route the endpoint choice with shares and health, attempt the sending and outcomes, intent the keys of requests that may not be repeated. An attempt keeps its place of the share until the traffic thread reports its outcome, even when its caller has left; a late answer is kept for the key.

Ruled out: (a) blaming an endpoint for an attempt that ended unknown within twice timing.call, since a short deadline or one silent connection does that; (b) taking out more than half of the endpoints for answers of 5xx or refusals, since a request that fails everywhere would take out all of them; (c) counting reroutes after Undelivered or Refused against the retry budget: no endpoint did work for them, and 4 attempts bound them.

--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -11,6 +11,7 @@
 #[macro_use]
 mod utils;
 
+pub mod attempt;
 pub mod call;
 pub mod caller;
 pub mod collection;
@@ -26,9 +27,11 @@
 pub mod gang;
 pub mod history;
 pub mod ids;
+pub mod intent;
 pub mod kind;
 pub mod lease;
 pub mod ledger;
+pub mod limit;
 pub mod member;
 pub mod outbox;
 pub mod plan;
@@ -39,6 +42,7 @@
 pub mod reducer;
 pub mod request;
 pub mod retry;
+pub mod route;
 pub mod settings;
 pub mod shutdown;
 pub mod snapshot;
--- /dev/null
+++ b/core/tests/requests/keys.rs
@@ -0,0 +1,244 @@
+//! Requests that may not be repeated: intents, kept answers and repeated keys.
+
+use crate::bench::TestDaemon;
+use crate::bench::answered;
+use crate::bench::head;
+use mustardpath_core::effect::CallerAnswer;
+use mustardpath_core::effect::ControlEffect;
+use mustardpath_core::event::EndpointOutcome;
+use mustardpath_core::event::EventInput;
+use mustardpath_core::kind::ErrorKind;
+use mustardpath_core::record::RecordBody;
+use mustardpath_core::record::RequestEnd;
+use mustardpath_core::units::TimeSpan;
+
+fn ends(bodies: &[RecordBody]) -> Vec<RequestEnd> {
+    let ends = bodies.iter().filter_map(|body| match body {
+        RecordBody::RequestDone { end, .. } => Some(end.clone()),
+        _ => None,
+    });
+    ends.collect()
+}
+
+/// Guards against a request that runs before every other daemon can learn of it.
+#[test]
+fn nothing_is_sent_before_the_intent_is_read_back() {
+    let mut daemon = TestDaemon::new("d0", 3);
+    daemon.send(&head("tea", "book", Some("k1")));
+    let records = daemon.take_appends();
+    daemon.advance(500);
+    assert_eq!(daemon.sent(), [], "the append alone proves nothing");
+    daemon.read(&records);
+    assert_eq!(daemon.sent().len(), 1);
+}
+
+/// Guards against two daemons that both run a request with one key.
+#[test]
+fn only_the_first_intent_with_a_key_is_sent() {
+    let mut first = TestDaemon::new("d0", 3);
+    let mut second = TestDaemon::new("d1", 3);
+    first.send(&head("tea", "book", Some("k1")));
+    let caller = second.send(&head("tea", "book", Some("k1")));
+    let mut records = first.take_appends();
+    records.extend(second.take_appends());
+    first.read(&records);
+    second.read(&records);
+    assert_eq!(first.sent().len(), 1);
+    assert_eq!(second.sent(), []);
+    assert_eq!(second.failure(caller), ErrorKind::OutcomeUnknown);
+}
+
+/// Guards against a second intent of one daemon with a key that it uses already.
+#[test]
+fn an_open_key_is_in_progress() {
+    let mut daemon = TestDaemon::new("d0", 3);
+    daemon.send(&head("tea", "book", Some("k1")));
+    let caller = daemon.send(&head("tea", "book", Some("k1")));
+    assert_eq!(daemon.failure(caller), ErrorKind::InProgress);
+    assert_eq!(daemon.settle().len(), 1, "one intent");
+    let caller = daemon.send(&head("tea", "book", Some("k1")));
+    assert_eq!(daemon.failure(caller), ErrorKind::InProgress);
+    let mut other = head("tea", "book", Some("k1"));
+    other.digest = 8;
+    let caller = daemon.send(&other);
+    assert_eq!(daemon.failure(caller), ErrorKind::KeyConflict);
+}
+
+/// Guards against a caller who waits for the log after the endpoint has answered, and against a
+/// repeated key that runs again.
+#[test]
+fn an_answer_is_kept_for_its_key() {
+    let mut daemon = TestDaemon::new("d0", 3);
+    let caller = daemon.send(&head("tea", "book", Some("k1")));
+    daemon.settle();
+    let sent = daemon.last_sent();
+    daemon.outcome(&sent, answered(200));
+    assert!(matches!(
+        daemon.replies(caller)[..],
+        [CallerAnswer::Endpoint { attempt: 1, .. }]
+    ));
+    let caller = daemon.send(&head("tea", "book", Some("k1")));
+    assert_eq!(daemon.failure(caller), ErrorKind::InProgress);
+    daemon.settle();
+    let caller = daemon.send(&head("tea", "book", Some("k1")));
+    let kept = CallerAnswer::Kept {
+        status: 200,
+        body: "ok".to_owned(),
+    };
+    assert_eq!(daemon.replies(caller), [&kept]);
+    let mut other = head("tea", "book", Some("k1"));
+    other.digest = 8;
+    let caller = daemon.send(&other);
+    assert_eq!(daemon.failure(caller), ErrorKind::KeyConflict);
+    assert_eq!(daemon.sent().len(), 1);
+}
+
+/// Guards against a second run of a request whose first run may have happened.
+#[test]
+fn an_unknown_outcome_is_never_sent_again() {
+    let mut daemon = TestDaemon::new("d0", 3);
+    let caller = daemon.send(&head("tea", "book", Some("k1")));
+    daemon.settle();
+    let sent = daemon.last_sent();
+    daemon.outcome(&sent, EndpointOutcome::Unknown);
+    assert_eq!(daemon.failure(caller), ErrorKind::OutcomeUnknown);
+    assert_eq!(ends(&daemon.settle()), [RequestEnd::Unknown]);
+    let caller = daemon.send(&head("tea", "book", Some("k1")));
+    assert_eq!(daemon.failure(caller), ErrorKind::OutcomeUnknown);
+    daemon.settle();
+    assert_eq!(daemon.sent().len(), 1);
+}
+
+/// Guards against a failed connection that ends a request which no endpoint has seen, and against
+/// a second intent for it.
+#[test]
+fn an_attempt_that_did_not_run_goes_to_another_endpoint() {
+    for outcome in [EndpointOutcome::Undelivered, EndpointOutcome::Refused] {
+        let mut daemon = TestDaemon::new("d0", 2);
+        let caller = daemon.send(&head("tea", "book", Some("k1")));
+        daemon.settle();
+        let first = daemon.last_sent();
+        daemon.outcome(&first, outcome.clone());
+        let second = daemon.last_sent();
+        assert_eq!(second.attempt, 2);
+        assert_ne!(second.worker, first.worker);
+        daemon.outcome(&second, outcome);
+        assert_eq!(daemon.failure(caller), ErrorKind::NoEndpoint);
+        assert_eq!(ends(&daemon.settle()), [RequestEnd::NotRun]);
+    }
+}
+
+/// Guards against a false "not run": an intent that the log stores late must not be sent, and its
+/// key must be free again.
+#[test]
+fn an_overdue_intent_is_refused_and_never_sent() {
+    let mut daemon = TestDaemon::new("d0", 3);
+    let caller = daemon.send(&head("tea", "book", Some("k1")));
+    let records = daemon.take_appends();
+    daemon.advance(3_500);
+    assert_eq!(daemon.failure(caller), ErrorKind::LogUnavailable);
+    let again = daemon.send(&head("tea", "book", Some("k1")));
+    assert_eq!(daemon.failure(again), ErrorKind::InProgress);
+    daemon.read(&records);
+    assert_eq!(ends(&daemon.settle()), [RequestEnd::NotRun]);
+    assert_eq!(daemon.sent(), []);
+    daemon.send(&head("tea", "book", Some("k1")));
+    daemon.settle();
+    assert_eq!(daemon.sent().len(), 1, "the key is free again");
+}
+
+/// Guards against a wait for a log that takes no batch: the intent was never handed to it.
+#[test]
+fn a_withdrawn_intent_frees_its_key() {
+    let mut daemon = TestDaemon::new("d0", 3);
+    daemon.send(&head("tea", "book", Some("k1")));
+    let caller = daemon.send(&head("tea", "book", Some("k2")));
+    daemon.advance(3_500);
+    assert_eq!(daemon.failure(caller), ErrorKind::LogUnavailable);
+    daemon.take_appends();
+    let caller = daemon.send(&head("tea", "book", Some("k2")));
+    assert!(daemon.replies(caller).is_empty(), "it goes on");
+}
+
+/// Guards against an intent while the ledger may miss the key's first use.
+#[test]
+fn a_log_that_is_not_fresh_refuses_intents() {
+    let mut daemon = TestDaemon::new("d0", 3);
+    daemon.advance_without_log(2_500);
+    let caller = daemon.send(&head("tea", "book", Some("k1")));
+    assert_eq!(daemon.failure(caller), ErrorKind::LogUnavailable);
+    daemon.send(&head("tea", "check", None));
+    assert_eq!(daemon.sent().len(), 1, "repeatable requests need no log");
+}
+
+/// Guards against work that starts after its caller was told "not run".
+#[test]
+fn a_deadline_during_the_append_ends_as_not_run() {
+    let mut daemon = TestDaemon::new("d0", 3);
+    let mut request = head("tea", "book", Some("k1"));
+    request.deadline = Some(TimeSpan(300));
+    let caller = daemon.send(&request);
+    let records = daemon.take_appends();
+    daemon.advance(400);
+    assert_eq!(daemon.failure(caller), ErrorKind::DeadlineBeforeRun);
+    daemon.read(&records);
+    assert_eq!(daemon.sent(), []);
+    assert_eq!(ends(&daemon.settle()), [RequestEnd::NotRun]);
+}
+
+/// Guards against a caller who can never learn an outcome, because its connection closed first.
+#[test]
+fn a_late_answer_is_kept_for_a_caller_who_left() {
+    let mut daemon = TestDaemon::new("d0", 3);
+    let caller = daemon.send(&head("tea", "book", Some("k1")));
+    daemon.settle();
+    let sent = daemon.last_sent();
+    daemon.apply(EventInput::CallerGone { caller });
+    assert!(matches!(
+        daemon.effects.last(),
+        Some(ControlEffect::CancelRequest { .. })
+    ));
+    assert_eq!(daemon.settle(), [], "the outcome is still open");
+    daemon.outcome(&sent, answered(200));
+    assert!(matches!(
+        ends(&daemon.settle())[..],
+        [RequestEnd::Answered { .. }]
+    ));
+    assert!(daemon.replies(caller).is_empty());
+}
+
+/// Guards against a key that stays in progress for ever when an outcome is never reported.
+#[test]
+fn an_attempt_without_a_report_ends_as_unknown() {
+    let mut daemon = TestDaemon::new("d0", 3);
+    let caller = daemon.send(&head("tea", "book", Some("k1")));
+    daemon.settle();
+    daemon.advance(6_500);
+    assert_eq!(daemon.failure(caller), ErrorKind::OutcomeUnknown);
+    assert_eq!(ends(&daemon.settle()), [RequestEnd::Unknown]);
+    assert!(daemon.state.requests.flights.is_empty());
+}
+
+/// Guards against an answer of unbounded size in the log.
+#[test]
+fn a_large_answer_is_not_kept() {
+    let mut daemon = TestDaemon::new("d0", 3);
+    daemon.send(&head("tea", "book", Some("k1")));
+    daemon.settle();
+    let sent = daemon.last_sent();
+    daemon.outcome(
+        &sent,
+        EndpointOutcome::Answered {
+            status: 200,
+            length: 4_000,
+            kept: Some("x".repeat(4_000)),
+        },
+    );
+    let end = RequestEnd::Answered {
+        status: 200,
+        body: None,
+    };
+    assert_eq!(ends(&daemon.settle()), [end]);
+    let caller = daemon.send(&head("tea", "book", Some("k1")));
+    assert_eq!(daemon.failure(caller), ErrorKind::OutcomeUnknown);
+}
--- /dev/null
+++ b/core/tests/requests/limits.rs
@@ -0,0 +1,253 @@
+//! Limits of teams, the queue, deadlines and the drain.
+
+use crate::bench::TestDaemon;
+use crate::bench::answered;
+use crate::bench::head;
+use crate::bench::team_file;
+use mustardpath_core::effect::ControlEffect;
+use mustardpath_core::event::EndpointOutcome;
+use mustardpath_core::event::EventInput;
+use mustardpath_core::event::ShutdownLevel;
+use mustardpath_core::ids::CallerId;
+use mustardpath_core::kind::ErrorKind;
+use mustardpath_core::kind::RunStatus;
+use mustardpath_core::units::ByteCount;
+use mustardpath_core::units::TimeSpan;
+
+fn burst(daemon: &mut TestDaemon, team: &str, count: usize) -> Vec<CallerId> {
+    (0..count)
+        .map(|_| daemon.send(&head(team, "check", None)))
+        .collect()
+}
+
+/// Guards against a team that runs more at once than its file allows.
+#[test]
+fn concurrency_stays_within_the_team_limit() {
+    let mut daemon = TestDaemon::new("d0", 20);
+    daemon.set_teams(vec![team_file("tea", 1, 5, 1_000)]);
+    burst(&mut daemon, "tea", 30);
+    assert_eq!(daemon.sent().len(), 5);
+    let sent = daemon.last_sent();
+    daemon.outcome(&sent, answered(200));
+    assert_eq!(daemon.sent().len(), 6, "the next goes when one has ended");
+}
+
+/// Guards against a team that sends faster than its file allows.
+#[test]
+fn rate_stays_within_the_team_limit() {
+    let mut daemon = TestDaemon::new("d0", 60);
+    daemon.set_teams(vec![team_file("tea", 1, 100, 20)]);
+    for _ in 0..50 {
+        burst(&mut daemon, "tea", 5);
+        for sent in daemon.sent() {
+            daemon.outcome(&sent, answered(200));
+        }
+        daemon.advance(100);
+    }
+    let sent = daemon.sent().len();
+    assert!((100..=121).contains(&sent), "{sent} in 5 s at 20 a second");
+}
+
+/// Guards against a limit that each daemon grants in full.
+#[test]
+fn a_team_limit_is_divided_among_daemons() {
+    let mut daemon = TestDaemon::new("d0", 60);
+    daemon.set_teams(vec![team_file("tea", 1, 30, 1_000)]);
+    let text = serde_json::json!([
+        { "daemon": "d1", "address": "a", "region": "south", "domain": "sg-a", "state": "live" },
+        { "daemon": "d2", "address": "b", "region": "south", "domain": "sg-a", "state": "live" },
+    ]);
+    let others = serde_json::from_value(text).expect("daemons");
+    daemon.set_vms(Vec::new(), others);
+    burst(&mut daemon, "tea", 50);
+    assert_eq!(daemon.sent().len(), 10);
+}
+
+/// Guards against a burst of one team that takes the places of another, in the table, in the
+/// queue, or in the order of service.
+#[test]
+fn a_burst_of_one_team_delays_no_other() {
+    let mut daemon = TestDaemon::new("d0", 4);
+    daemon.state.settings.limits.open_requests = 100;
+    daemon.state.settings.limits.queued_requests = 60;
+    let refused = burst(&mut daemon, "tea", 300);
+    let refused = refused
+        .iter()
+        .filter(|caller| !daemon.replies(**caller).is_empty())
+        .count();
+    assert!(refused >= 200, "the table is bounded: {refused}");
+    let calm = burst(&mut daemon, "salt", 10);
+    assert!(calm.iter().all(|caller| daemon.replies(*caller).is_empty()));
+    let mut served = 0;
+    let before = daemon.sent().len();
+    while daemon
+        .sent()
+        .iter()
+        .filter(|sent| calm.contains(&sent.caller))
+        .count()
+        < 10
+    {
+        let open = daemon.sent()[served].clone();
+        daemon.outcome(&open, answered(200));
+        served += 1;
+    }
+    let needed = daemon.sent().len() - before;
+    assert!(needed <= 21, "10 requests went out with {needed} in all");
+}
+
+/// Guards against a share that does not follow the weight.
+#[test]
+fn service_follows_the_weight() {
+    let mut daemon = TestDaemon::new("d0", 4);
+    daemon.set_teams(vec![team_file("tea", 3, 100, 1_000)]);
+    burst(&mut daemon, "tea", 60);
+    let calm = burst(&mut daemon, "salt", 60);
+    for index in 0..60 {
+        let sent = daemon.sent()[index].clone();
+        daemon.outcome(&sent, answered(200));
+    }
+    let sent = daemon.sent();
+    let of_salt = sent
+        .iter()
+        .filter(|sent| calm.contains(&sent.caller))
+        .count();
+    assert!((13..=17).contains(&of_salt), "{of_salt} of {}", sent.len());
+}
+
+/// Guards against a wait beyond the deadline, and against a refusal that is not true.
+#[test]
+fn a_deadline_in_the_queue_is_a_true_not_run() {
+    let mut daemon = TestDaemon::new("d0", 1);
+    burst(&mut daemon, "tea", 1);
+    let mut request = head("tea", "check", None);
+    request.deadline = Some(TimeSpan(500));
+    let caller = daemon.send(&request);
+    daemon.advance(600);
+    assert_eq!(daemon.failure(caller), ErrorKind::DeadlineBeforeRun);
+    let sent = daemon.last_sent();
+    daemon.outcome(&sent, answered(200));
+    assert_eq!(daemon.sent().len(), 1, "it never goes out");
+}
+
+/// Guards against a request that goes out after its deadline between two ticks.
+#[test]
+fn a_late_request_is_not_sent_between_ticks() {
+    let mut daemon = TestDaemon::new("d0", 1);
+    burst(&mut daemon, "tea", 1);
+    let mut request = head("tea", "check", None);
+    request.deadline = Some(TimeSpan(50));
+    let caller = daemon.send(&request);
+    daemon.at = daemon.at + TimeSpan(60);
+    let sent = daemon.last_sent();
+    daemon.outcome(&sent, answered(200));
+    assert_eq!(daemon.sent().len(), 1);
+    assert_eq!(daemon.failure(caller), ErrorKind::DeadlineBeforeRun);
+}
+
+/// Guards against a queue that takes requests which cannot be served in time.
+#[test]
+fn a_hopeless_wait_is_refused_early() {
+    let mut daemon = TestDaemon::new("d0", 1);
+    daemon.set_teams(vec![team_file("tea", 1, 100, 10)]);
+    burst(&mut daemon, "tea", 40);
+    let mut request = head("tea", "check", None);
+    request.deadline = Some(TimeSpan(1_000));
+    let caller = daemon.send(&request);
+    let kind = daemon.failure(caller);
+    assert_eq!(kind, ErrorKind::Overloaded);
+    assert_eq!(kind.answer().run, RunStatus::NotRun);
+}
+
+/// Guards against an endpoint that goes on for a caller who was told that the deadline passed.
+#[test]
+fn a_deadline_while_running_cancels_the_attempt() {
+    let mut daemon = TestDaemon::new("d0", 1);
+    let mut request = head("tea", "check", None);
+    request.deadline = Some(TimeSpan(500));
+    let caller = daemon.send(&request);
+    let sent = daemon.last_sent();
+    assert_eq!(
+        sent.timeout,
+        TimeSpan(500),
+        "no attempt outlives the caller"
+    );
+    daemon.advance(500);
+    assert_eq!(daemon.failure(caller), ErrorKind::DeadlineWhileRunning);
+    let cancelled = |effect: &ControlEffect| matches!(effect, ControlEffect::CancelRequest { .. });
+    assert!(daemon.effects.iter().any(cancelled));
+    let flights = daemon.state.requests.flights.len();
+    assert_eq!(flights, 1, "the place is taken until the attempt ends");
+    daemon.outcome(&sent, EndpointOutcome::Unknown);
+    assert!(daemon.state.requests.flights.is_empty());
+}
+
+/// Guards against work for a caller who has left.
+#[test]
+fn a_caller_who_leaves_frees_the_queue_and_the_endpoint() {
+    let mut daemon = TestDaemon::new("d0", 1);
+    let callers = burst(&mut daemon, "tea", 2);
+    daemon.apply(EventInput::CallerGone { caller: callers[1] });
+    daemon.apply(EventInput::CallerGone { caller: callers[0] });
+    assert!(daemon.state.requests.open.is_empty());
+    let sent = daemon.last_sent();
+    daemon.outcome(&sent, answered(200));
+    assert_eq!(daemon.sent().len(), 1);
+    let team = &daemon.state.requests.limits.teams[0];
+    assert_eq!((team.open, team.running), (0, 0));
+}
+
+/// Guards against requests that are malformed, too large, or of someone else.
+#[test]
+fn bad_requests_are_refused_with_their_kind() {
+    let mut daemon = TestDaemon::new("d0", 1);
+    let mut large = head("tea", "check", None);
+    large.length = daemon.state.settings.limits.body.0 + 1;
+    let mut late = head("tea", "check", None);
+    late.deadline = Some(TimeSpan(0));
+    let long = "k".repeat(129);
+    let cases = [
+        (large, ErrorKind::TooLarge),
+        (late, ErrorKind::DeadlineBeforeRun),
+        (head("tea", "train", None), ErrorKind::BadRequest),
+        (head("tea", "book", None), ErrorKind::BadRequest),
+        (head("tea", "book", Some(&long)), ErrorKind::BadRequest),
+        (head("tea", "none", None), ErrorKind::UnknownService),
+        (head("nobody", "check", None), ErrorKind::Forbidden),
+    ];
+    for (request, kind) in cases {
+        let caller = daemon.send(&request);
+        assert_eq!(daemon.failure(caller), kind, "{request:?}");
+    }
+    daemon.state.settings.limits.body = ByteCount(100);
+    let caller = daemon.send(&head("tea", "check", None));
+    assert!(daemon.replies(caller).is_empty(), "the bound itself fits");
+}
+
+/// Guards against a shutdown that interrupts a request, and against new work during it.
+#[test]
+fn a_drain_waits_for_open_requests() {
+    let mut daemon = TestDaemon::new("d0", 2);
+    let caller = burst(&mut daemon, "tea", 1)[0];
+    daemon.apply(EventInput::Shutdown {
+        level: ShutdownLevel::Drain,
+    });
+    let during = burst(&mut daemon, "tea", 1)[0];
+    assert!(
+        daemon.replies(during).is_empty(),
+        "the balancer still sends"
+    );
+    daemon.advance(2_000);
+    let late = burst(&mut daemon, "tea", 1)[0];
+    assert_eq!(daemon.failure(late), ErrorKind::NotReady);
+    assert!(!daemon.effects.contains(&ControlEffect::Exit));
+    for sent in daemon.sent() {
+        daemon.outcome(&sent, answered(200));
+    }
+    assert_eq!(
+        daemon.replies(caller).len() + daemon.replies(during).len(),
+        2
+    );
+    daemon.settle();
+    daemon.advance(200);
+    assert!(daemon.effects.contains(&ControlEffect::Exit));
+}
--- /dev/null
+++ b/core/tests/requests/routes.rs
@@ -0,0 +1,277 @@
+//! Choice of endpoints: shares, distance, health, and who gets nothing.
+
+use crate::bench::SentAttempt;
+use crate::bench::TestDaemon;
+use crate::bench::answered;
+use crate::bench::head;
+use crate::bench::worker_info;
+use mustardpath_core::effect::PeerHeartbeat;
+use mustardpath_core::effect::PeerMessage;
+use mustardpath_core::event::EndpointOutcome;
+use mustardpath_core::event::EventInput;
+use mustardpath_core::ids::DaemonName;
+use mustardpath_core::ids::WorkerName;
+use mustardpath_core::kind::ErrorKind;
+use mustardpath_core::quota;
+use mustardpath_core::route::EndpointPhase;
+use mustardpath_core::units::TimeSpan;
+use mustardpath_core::worker::DaemonInfo;
+use mustardpath_core::worker::VmState;
+
+/// Sends requests one after the other, so that each endpoint proves itself.
+fn warm_up(daemon: &mut TestDaemon) {
+    for _ in 0..100 {
+        daemon.send(&head("tea", "check", None));
+        let sent = daemon.last_sent();
+        daemon.outcome(&sent, answered(200));
+    }
+}
+
+/// Opens `count` requests and returns the attempts that were sent.
+fn open(daemon: &mut TestDaemon, count: usize) -> Vec<SentAttempt> {
+    let before = daemon.sent().len();
+    for _ in 0..count {
+        daemon.send(&head("tea", "check", None));
+    }
+    daemon.sent().split_off(before)
+}
+
+fn daemon_info(name: &str) -> DaemonInfo {
+    DaemonInfo {
+        daemon: name.into(),
+        address: "127.0.0.1:9".to_owned(),
+        region: "south".into(),
+        domain: "sg-a".into(),
+        state: VmState::Live,
+    }
+}
+
+fn heartbeat(daemon: &TestDaemon, draining: bool) -> PeerHeartbeat {
+    PeerHeartbeat {
+        incarnation: 1,
+        address: String::new(),
+        peer_address: String::new(),
+        region: "south".into(),
+        domain: "sg-a".into(),
+        next: daemon.state.ledger.next,
+        config: daemon.state.ledger.config.version,
+        held_domains: Vec::new(),
+        holds: Vec::new(),
+        silent_workers: Vec::new(),
+        lost_workers: Vec::new(),
+        draining,
+    }
+}
+
+fn hear(daemon: &mut TestDaemon, from: &str, draining: bool) {
+    let heartbeat = heartbeat(daemon, draining);
+    daemon.apply(EventInput::Peer {
+        from: from.into(),
+        message: PeerMessage::Heartbeat(heartbeat),
+    });
+}
+
+/// Guards against parts that add up to more than the whole, or that leave some of it unused.
+#[test]
+fn parts_of_all_daemons_add_up_to_the_limit() {
+    bolero::check!()
+        .with_iterations(500)
+        .with_type::<(u16, u8, u32)>()
+        .for_each(|(total, count, label)| {
+            let names = 0..u32::from(*count % 9) + 1;
+            let daemons: Vec<DaemonName> = names.map(|n| format!("d{n}").as_str().into()).collect();
+            let label = format!("w{label}");
+            let parts = daemons
+                .iter()
+                .map(|own| quota::part(u32::from(*total), &daemons, own, &label));
+            assert_eq!(parts.sum::<u32>(), u32::from(*total));
+        });
+}
+
+/// Guards against an endpoint that gets more requests from all daemons together than it leaves to
+/// short requests.
+#[test]
+fn all_daemons_together_stay_within_the_request_slots() {
+    let names = ["d0", "d1", "d2"];
+    let mut total = std::collections::BTreeMap::<WorkerName, usize>::new();
+    for name in names {
+        let mut daemon = TestDaemon::new(name, 12);
+        let others = names.iter().filter(|other| **other != name);
+        daemon.set_vms(
+            Vec::new(),
+            others.clone().map(|other| daemon_info(other)).collect(),
+        );
+        for other in others {
+            hear(&mut daemon, other, false);
+        }
+        warm_up(&mut daemon);
+        for sent in open(&mut daemon, 60) {
+            *total.entry(sent.worker).or_default() += 1;
+        }
+    }
+    assert_eq!(total.values().sum::<usize>(), 24, "all slots are used");
+    assert!(total.values().all(|count| *count <= 2), "{total:?}");
+}
+
+/// Guards against a daemon that takes the whole limit at its start, before it has heard the others,
+/// and against one that takes over from a draining daemon while that one still finishes requests.
+#[test]
+fn daemons_that_may_still_send_keep_their_part() {
+    let mut daemon = TestDaemon::new("d0", 12);
+    daemon.set_vms(Vec::new(), vec![daemon_info("d1")]);
+    assert_eq!(open(&mut daemon, 60).len(), 12, "one of two slots each");
+    let mut daemon = TestDaemon::new("d0", 12);
+    daemon.set_vms(Vec::new(), vec![daemon_info("d1")]);
+    hear(&mut daemon, "d1", true);
+    daemon.advance(6_000);
+    assert_eq!(open(&mut daemon, 12).len(), 12);
+    warm_up_open(&mut daemon);
+    assert_eq!(open(&mut daemon, 60).len(), 12, "draining");
+    daemon.advance(200);
+    let all = daemon.state.requests.flights.len();
+    assert_eq!(all, 24, "silent for 6 s");
+}
+
+/// Answers all open attempts, which proves their endpoints.
+fn warm_up_open(daemon: &mut TestDaemon) {
+    for sent in daemon.sent() {
+        daemon.outcome(&sent, answered(200));
+    }
+}
+
+/// Guards against paid traffic across the link while near endpoints are free.
+#[test]
+fn near_endpoints_come_first() {
+    let mut daemon = TestDaemon::new("d0", 1);
+    let workers = vec![worker_info("far", "hn-a"), worker_info("near", "ct-a")];
+    daemon.set_vms(workers, Vec::new());
+    let sent = open(&mut daemon, 3);
+    let workers: Vec<&str> = sent.iter().map(|sent| sent.worker.as_str()).collect();
+    assert_eq!(
+        workers,
+        ["w0", "near", "far"],
+        "one probe each, by distance"
+    );
+}
+
+/// Guards against load that gathers at few endpoints while others are idle.
+#[test]
+fn load_spreads_over_endpoints() {
+    let mut daemon = TestDaemon::new("d0", 10);
+    warm_up(&mut daemon);
+    let sent = open(&mut daemon, 10);
+    let mut workers: Vec<_> = sent.iter().map(|sent| &sent.worker).collect();
+    workers.sort();
+    workers.dedup();
+    assert!(workers.len() >= 7, "{workers:?}");
+}
+
+/// Guards against new work on an endpoint that is leaving, by the list or by its own word, and in
+/// a failure domain that is out.
+#[test]
+fn endpoints_that_leave_get_nothing() {
+    let mut daemon = TestDaemon::new("d0", 1);
+    let caller = daemon.send(&head("tea", "check", None));
+    assert_eq!(daemon.sent().len(), 1, "{caller:?}");
+    let sent = daemon.last_sent();
+    daemon.outcome(&sent, answered(200));
+    let mut info = worker_info("w0", "sg-a");
+    info.state = VmState::Leaving;
+    daemon.set_vms(vec![info], Vec::new());
+    let caller = daemon.send(&head("tea", "check", None));
+    assert_eq!(daemon.failure(caller), ErrorKind::NoEndpoint);
+    daemon.set_vms(vec![worker_info("w0", "sg-a")], Vec::new());
+    daemon.state.members.workers[0].leaving = true;
+    let caller = daemon.send(&head("tea", "check", None));
+    assert_eq!(daemon.failure(caller), ErrorKind::NoEndpoint);
+    daemon.state.members.workers[0].leaving = false;
+    let domain = daemon.state.ledger.domains.entry("sg-a".into());
+    domain.or_default().out = true;
+    let caller = daemon.send(&head("tea", "check", None));
+    assert_eq!(daemon.failure(caller), ErrorKind::NoEndpoint);
+    assert_eq!(daemon.sent().len(), 1);
+}
+
+/// Guards against a full load on an endpoint that has just come up.
+#[test]
+fn a_new_endpoint_is_probed_first() {
+    let mut daemon = TestDaemon::new("d0", 1);
+    let sent = open(&mut daemon, 2);
+    assert_eq!(sent.len(), 1, "one probe");
+    daemon.outcome(&sent[0], answered(200));
+    assert_eq!(
+        open(&mut daemon, 2).len(),
+        1,
+        "both slots with the one queued"
+    );
+    assert_eq!(daemon.state.requests.flights.len(), 2);
+}
+
+/// Guards against an endpoint that is left out for one failure, or that stays out for ever, or
+/// that comes back as often as one that works.
+#[test]
+fn a_failing_endpoint_is_left_out_and_probed() {
+    let mut daemon = TestDaemon::new("d0", 4);
+    warm_up(&mut daemon);
+    let failing: WorkerName = "w1".into();
+    let mut until = Vec::new();
+    for _ in 0..4_000 {
+        daemon.send(&head("tea", "check", None));
+        let sent = daemon.last_sent();
+        let fails = sent.worker == failing && until.len() < 4;
+        let outcome = if fails {
+            EndpointOutcome::Undelivered
+        } else {
+            answered(200)
+        };
+        daemon.outcome(&sent, outcome);
+        let again = daemon.last_sent();
+        if again != sent {
+            daemon.outcome(&again, answered(200));
+        }
+        let phase = daemon.state.requests.routes.endpoints[&failing].phase;
+        if let EndpointPhase::Out { absence, .. } = phase
+            && until.last() != Some(&absence.0)
+        {
+            until.push(absence.0);
+        }
+        daemon.at = daemon.at + TimeSpan(10);
+    }
+    assert_eq!(until, [1_000, 2_000, 4_000, 8_000], "each absence doubles");
+    let phase = daemon.state.requests.routes.endpoints[&failing].phase;
+    assert!(matches!(phase, EndpointPhase::Serving { .. }), "{phase:?}");
+    let answered = daemon.state.requests.open.is_empty();
+    assert!(answered, "no request was lost");
+}
+
+/// Guards against requests that fail everywhere by themselves and take every endpoint out.
+#[test]
+fn failing_requests_leave_half_of_the_endpoints() {
+    let mut daemon = TestDaemon::new("d0", 6);
+    warm_up(&mut daemon);
+    for _ in 0..300 {
+        daemon.send(&head("tea", "check", None));
+        while !daemon.state.requests.open.is_empty() {
+            let sent = daemon.last_sent();
+            daemon.outcome(&sent, answered(500));
+        }
+    }
+    let phases = daemon.state.requests.routes.endpoints.values();
+    let out = phases.filter(|entry| matches!(entry.phase, EndpointPhase::Out { .. }));
+    assert_eq!(out.count(), 3);
+}
+
+/// Guards against an endpoint that is blamed for a caller's short deadline.
+#[test]
+fn a_short_deadline_is_no_failure_of_the_endpoint() {
+    let mut daemon = TestDaemon::new("d0", 1);
+    warm_up(&mut daemon);
+    let before = daemon.state.requests.routes.endpoints[0].phase;
+    for _ in 0..10 {
+        daemon.send(&head("tea", "check", None));
+        let sent = daemon.last_sent();
+        daemon.at = daemon.at + TimeSpan(200);
+        daemon.outcome(&sent, EndpointOutcome::Unknown);
+    }
+    assert_eq!(daemon.state.requests.routes.endpoints[0].phase, before);
+}
