--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -11,6 +11,7 @@
 #[macro_use]
 mod utils;
 
+pub mod attempt;
 pub mod baseline;
 pub mod call;
 pub mod caller;
@@ -31,14 +32,17 @@
 pub mod guarantee;
 pub mod history;
 pub mod ids;
+pub mod intent;
 pub mod kind;
 pub mod lease;
 pub mod ledger;
+pub mod limit;
 pub mod member;
 pub mod outbox;
 pub mod placement;
 pub mod plan;
 pub mod policy;
+pub mod quota;
 pub mod queue;
 pub mod reader;
 pub mod reclaim;
@@ -46,6 +50,8 @@
 pub mod reducer;
 pub mod relocate;
 pub mod request;
+pub mod retry;
+pub mod route;
 pub mod reservation;
 pub mod settings;
 pub mod shutdown;
