Test short requests through real sockets

Cause: the reducer serves short requests now.

Change: six callers at three daemons compare the answers with their own bodies, and a repeated booking gets the first answer.

Ruled out: nothing.

--- a/src/local_load.rs
+++ b/src/local_load.rs
@@ -8,14 +8,6 @@
 use crossbeam_channel::Sender;
 use serde_json::json;
 
-use mustardpath_core::config::ServiceSpec;
-use mustardpath_core::config::WorkKind;
-use mustardpath_core::effect::CallerAnswer;
-use mustardpath_core::effect::JobEnd;
-use mustardpath_core::ids::JobId;
-use mustardpath_core::ids::RequestKey;
-use mustardpath_standin::endpoint;
-
 use crate::deployment::WorkPlan;
 use crate::http_client::CallError;
 use crate::http_client::HttpReply;
@@ -24,6 +16,13 @@
 use crate::standin_platform::OutcomeNote;
 use crate::standin_platform::PlatformCall;
 use crate::standin_platform::PlatformSender;
+use mustardpath_core::config::ServiceSpec;
+use mustardpath_core::config::WorkKind;
+use mustardpath_core::effect::CallerAnswer;
+use mustardpath_core::effect::JobEnd;
+use mustardpath_core::ids::JobId;
+use mustardpath_core::ids::RequestKey;
+use mustardpath_standin::endpoint;
 
 /// Pause before a refused or unknown command is sent again.
 const RETRY_PAUSE: Duration = Duration::from_millis(300);
--- a/src/local_run.rs
+++ b/src/local_run.rs
@@ -13,14 +13,6 @@
 use indexmap::IndexMap;
 use serde::Serialize;
 
-use mustardpath_core::collection;
-use mustardpath_core::collection::CheckBounds;
-use mustardpath_core::collection::SourceFile;
-use mustardpath_core::config::KeyDigest;
-use mustardpath_core::config::TeamFile;
-use mustardpath_core::ids::TeamName;
-use mustardpath_standin::checker::OutcomeReport;
-
 use crate::daemon::RunningDaemon;
 use crate::deployment;
 use crate::deployment::DeploymentPlan;
@@ -34,6 +26,13 @@
 use crate::standin_platform::PlatformCall;
 use crate::standin_platform::PlatformSender;
 use crate::tree;
+use mustardpath_core::collection;
+use mustardpath_core::collection::CheckBounds;
+use mustardpath_core::collection::SourceFile;
+use mustardpath_core::config::KeyDigest;
+use mustardpath_core::config::TeamFile;
+use mustardpath_core::ids::TeamName;
+use mustardpath_standin::checker::OutcomeReport;
 
 /// Time over which the mix is sent.
 const SPREAD: Duration = Duration::from_secs(22);
@@ -186,7 +185,9 @@
         .map_err(|problems| invalid(problems.iter().map(ToString::to_string).collect()))?;
     for (name, team) in &teams {
         if team.key_sha256 != KeyDigest::of(&example_key(name)) {
-            return Err(invalid(vec![format!("{name}: the key is not the example's")]));
+            return Err(invalid(vec![format!(
+                "{name}: the key is not the example's"
+            )]));
         }
     }
     Ok(teams)
--- a/tests/whole_path.rs
+++ b/tests/whole_path.rs
@@ -6,11 +6,13 @@
 use bench::TestBench;
 use bench::until;
 
+use mustardpath::http_client::HttpReply;
 use mustardpath::local_cluster;
 use mustardpath::standin_platform::PlatformCall;
 use mustardpath_core::effect::CallerAnswer;
 use mustardpath_core::effect::JobEnd;
 use mustardpath_core::effect::JobView;
+use mustardpath_standin::endpoint;
 
 fn submit(bench: &TestBench, daemon: usize, key: &str) -> JobView {
     let mut caller = bench.caller(daemon);
@@ -36,6 +38,17 @@
     })
 }
 
+fn send(bench: &TestBench, daemon: usize, service: &str, key: &str, body: &[u8]) -> HttpReply {
+    let mut caller = bench.caller(daemon);
+    let headers = [("Idempotency-Key", key.to_string())];
+    until("the request is answered", || {
+        let reply = caller
+            .post(&format!("/v1/requests/{service}"), &headers, body, PATIENCE)
+            .expect("an answer");
+        (reply.status == 200).then_some(reply)
+    })
+}
+
 /// Guards against a break anywhere between a caller's socket and a worker's: a gang is submitted
 /// at one daemon, runs, and its result is read at another one; a repeated key gives the same job.
 #[test]
@@ -62,3 +75,25 @@
     assert_eq!(report.lines(), Vec::<String>::new());
     assert_eq!(starts, 2, "both members of the gang started once");
 }
+
+/// Guards against answers that are truncated, swapped or run twice: each caller gets the answer
+/// to its own body, and a repeated key of a booking gets the first answer without a second run.
+#[test]
+fn requests_get_their_own_answers() {
+    let bench = TestBench::start();
+    for number in 0..6 {
+        let body = vec![b'a' + number; 3_000 + usize::from(number)];
+        let reply = send(
+            &bench,
+            usize::from(number) % 3,
+            "check",
+            &format!("c{number}"),
+            &body,
+        );
+        assert_eq!(reply.body, endpoint::answer_to(&body));
+    }
+    let first = send(&bench, 0, "booking", "b1", b"one");
+    let second = send(&bench, 1, "booking", "b1", b"one");
+    assert_eq!(first.body, endpoint::answer_to(b"one"));
+    assert_eq!(second.body, first.body);
+}
