Check a published change in the daemon as well

A change sent to the HTTP interface directly could bring zero workers, a malformed digest or 4 billion shapes into force.

Ruled out: a second set of rules for typed team files. The daemon encodes the changed files and applies the same checks to them, with the bounds of its own workers, beside the teams that the change keeps. Teams in force are not checked again, so a worker that leaves does not block a change.

Change: collection::check_change, called where the daemon takes a change; a guarantee holds at most 16,000 tasks.

Conclusion: no path into the configuration leaves out the checks.

--- a/core/src/caller.rs
+++ b/core/src/caller.rs
@@ -3,10 +3,13 @@
 use indexmap::IndexMap;
 use indexmap::IndexSet;
 
+use crate::collection;
+use crate::collection::CheckBounds;
 use crate::config::ServiceSpec;
 use crate::config::TeamFile;
 use crate::config::WorkKind;
 use crate::context::StepContext;
+use crate::document::FileProblem;
 use crate::domain;
 use crate::domain::DomainCommand;
 use crate::dump;
@@ -45,6 +48,9 @@
 /// Longest wait for the end of a job in one exchange. A caller asks again after it.
 const LONGEST_WAIT: TimeSpan = TimeSpan::from_secs(60);
 
+/// Problems of a published change that its answer names, to keep the answer short.
+const PROBLEMS_SHOWN: usize = 10;
+
 /// Callers who wait for a record's read-back or for the end of a job.
 #[derive(Clone, Debug, Default)]
 pub struct CallerTable {
@@ -590,7 +596,7 @@
         teams.shift_remove(team);
     }
     for file in change.upsert {
-        teams.insert(file.team.clone(), file.clone());
+        teams.shift_remove(&file.team);
     }
     let workers: Vec<_> = state
         .members
@@ -598,11 +604,28 @@
         .values()
         .map(|entry| &entry.info)
         .collect();
-    let slots = fleet::idle_slots(&workers, state.settings.limits.request_slots);
+    let limits = &state.settings.limits;
+    let slots = fleet::idle_slots(&workers, limits.request_slots);
+    let offered = slots.values().map(|slot| &slot.offered);
+    let bounds = CheckBounds::of_workers(offered, limits.gang_members);
+    collection::check_change(&teams, change.upsert, &bounds)
+        .map_err(|problems| FailureReport::new(ErrorKind::BadConfig, describe(&problems)))?;
+    for file in change.upsert {
+        teams.insert(file.team.clone(), file.clone());
+    }
     guarantee::check_config(&teams, &slots)
         .map_err(|reason| FailureReport::new(ErrorKind::BadConfig, reason))
 }
 
+/// Returns the first problems of a change as one line.
+fn describe(problems: &[FileProblem]) -> String {
+    let lines = problems.iter().take(PROBLEMS_SHOWN);
+    let lines: Vec<_> = lines
+        .map(|problem| format!("{}: {}: {}", problem.file, problem.field, problem.message))
+        .collect();
+    lines.join("; ")
+}
+
 /// Answers the caller of a record that was read back.
 pub fn settled(
     state: &mut DaemonState,
--- a/core/src/collection.rs
+++ b/core/src/collection.rs
@@ -25,6 +25,10 @@
 /// Largest size of one team file in bytes. A record of the log holds several of them.
 pub const MAX_FILE_BYTES: usize = 64 << 10;
 
+/// Most tasks of one guarantee: the target's number of tasks that run at once. It also bounds the
+/// work of laying out the guarantees.
+const MAX_TASKS: u32 = 16_000;
+
 /// UTF-8 encoding of the byte order mark, which JSON does not allow.
 const BYTE_ORDER_MARK: &[u8] = b"\xef\xbb\xbf";
 
@@ -46,6 +50,30 @@
     pub gang_members: u32,
 }
 
+impl CheckBounds {
+    /// Returns the bounds of workers that offer these amounts to jobs, or the default ones when
+    /// there are none.
+    #[must_use]
+    pub fn of_workers<'w>(
+        offered: impl IntoIterator<Item = &'w ResourceDemand>,
+        gang_members: u32,
+    ) -> Self {
+        let largest = offered
+            .into_iter()
+            .copied()
+            .reduce(|one, other| ResourceDemand {
+                slots: one.slots.max(other.slots),
+                accelerators: one.accelerators.max(other.accelerators),
+                cores: one.cores.max(other.cores),
+                memory_mib: one.memory_mib.max(other.memory_mib),
+            });
+        Self {
+            worker: largest.unwrap_or(Self::default().worker),
+            gang_members,
+        }
+    }
+}
+
 impl Default for CheckBounds {
     /// Returns the bounds of the larger of today's deployments: 8 slots, of which 2 are left to
     /// short requests, 8 accelerators, 64 cores and 256 GiB.
@@ -71,19 +99,60 @@
     files: &[SourceFile<'_>],
     bounds: &CheckBounds,
 ) -> Result<IndexMap<TeamName, TeamFile>, Vec<FileProblem>> {
-    let mut teams: IndexMap<TeamName, (TeamFile, &str)> = IndexMap::new();
+    check_beside(files, bounds, KnownTeams::new())
+}
+
+/// Checks team files that did not come from text, such as those of a change, beside the teams
+/// `kept` that the change leaves as they are. Problems name the team in place of a file.
+///
+/// # Errors
+///
+/// Returns all mistakes of all changed files.
+pub fn check_change(
+    kept: &IndexMap<TeamName, TeamFile>,
+    upsert: &[TeamFile],
+    bounds: &CheckBounds,
+) -> Result<(), Vec<FileProblem>> {
+    let encode = |team: &TeamFile| serde_json::to_vec(team).unwrap_or_default();
+    let texts: Vec<_> = upsert.iter().map(encode).collect();
+    let files: Vec<_> = upsert
+        .iter()
+        .zip(&texts)
+        .map(|(team, bytes)| SourceFile {
+            name: team.team.as_str(),
+            bytes,
+        })
+        .collect();
+    let known = kept.values().map(|team| {
+        (
+            team.team.clone(),
+            (team.key_sha256.clone(), "the version in force"),
+        )
+    });
+    check_beside(&files, bounds, known.collect()).map(|_| ())
+}
+
+/// Keys of teams, and the files that declare them.
+type KnownTeams<'f> = IndexMap<TeamName, (KeyDigest, &'f str)>;
+
+fn check_beside<'f>(
+    files: &[SourceFile<'f>],
+    bounds: &CheckBounds,
+    mut known: KnownTeams<'f>,
+) -> Result<IndexMap<TeamName, TeamFile>, Vec<FileProblem>> {
+    let mut teams = IndexMap::new();
     let mut problems = Vec::new();
     for file in files {
-        match check_file(file, bounds, &teams) {
+        match check_file(file, bounds, &known) {
             Ok(team) => {
-                teams.insert(team.team.clone(), (team, file.name));
+                known.insert(team.team.clone(), (team.key_sha256.clone(), file.name));
+                teams.insert(team.team.clone(), team);
             }
             Err(found) => problems.extend(found),
         }
     }
     if problems.is_empty() {
-        let checked = teams.into_iter().map(|(name, (team, _))| (name, team));
-        Ok(checked.collect())
+        Ok(teams)
     } else {
         Err(problems)
     }
@@ -92,14 +161,14 @@
 fn check_file(
     file: &SourceFile<'_>,
     bounds: &CheckBounds,
-    earlier: &IndexMap<TeamName, (TeamFile, &str)>,
+    known: &KnownTeams<'_>,
 ) -> Result<TeamFile, Vec<FileProblem>> {
     let text = check_encoding(file).map_err(|problem| vec![problem])?;
     let mut document = JsonDocument::parse(file.name, text).map_err(|problem| vec![problem])?;
     let team = document.read::<TeamFile>(&template());
     if let Some(team) = &team {
         check_team(&mut document, team, bounds);
-        check_unique(&mut document, team, earlier);
+        check_unique(&mut document, team, known);
     }
     let problems = document.into_problems();
     match team {
@@ -180,20 +249,16 @@
     }
 }
 
-fn check_unique(
-    document: &mut JsonDocument<'_>,
-    team: &TeamFile,
-    earlier: &IndexMap<TeamName, (TeamFile, &str)>,
-) {
+fn check_unique(document: &mut JsonDocument<'_>, team: &TeamFile, known: &KnownTeams<'_>) {
     let top = FieldPath::default();
-    if let Some((_, file)) = earlier.get(&team.team) {
+    if let Some((_, file)) = known.get(&team.team) {
         let message = format!("{} is declared in {file} as well", team.team);
         document.report(&top.key("team"), message);
         return;
     }
-    let same_key = |(other, _): &&(TeamFile, &str)| other.key_sha256 == team.key_sha256;
-    if let Some((other, file)) = earlier.values().find(same_key) {
-        let message = format!("{} in {file} has the same key", other.team);
+    let same_key = |(_, (key, _)): &(&TeamName, &(KeyDigest, &str))| *key == team.key_sha256;
+    if let Some((other, (_, file))) = known.iter().find(same_key) {
+        let message = format!("{other} in {file} has the same key");
         document.report(&top.key("key_sha256"), message);
     }
 }
@@ -222,6 +287,10 @@
         let message = format!("{workers} is above {bound}, the largest gang");
         document.report(&path.key("workers"), message);
     }
+    if shape.count.saturating_mul(shape.workers) > MAX_TASKS {
+        let message = format!("{} shapes hold more than {MAX_TASKS} tasks", shape.count);
+        document.report(&path.key("count"), message);
+    }
     check_demand(document, &path.key("per_worker"), &shape.per_worker, bounds);
 }
 
--- a/core/tests/collection.rs
+++ b/core/tests/collection.rs
@@ -6,6 +6,7 @@
 use mustardpath_core::collection::MAX_FILE_BYTES;
 use mustardpath_core::collection::SourceFile;
 use mustardpath_core::collection::check;
+use mustardpath_core::collection::check_change;
 use mustardpath_core::config::TeamFile;
 use mustardpath_core::difference::difference;
 use mustardpath_core::ids::TeamName;
@@ -73,6 +74,11 @@
         ("\"workers\": 2", "\"workers\": 0", "t:6:7: guarantees[0].workers: must not be zero".to_owned()),
         ("\"workers\": 2", "\"workers\": 65", "t:6:7: guarantees[0].workers: 65 is above 64, the largest gang".to_owned()),
         ("\"workers\": 2", "\"count\": 0, \"workers\": 2", "t:6:7: guarantees[0].count: must not be zero".to_owned()),
+        (
+            "\"workers\": 2",
+            "\"count\": 4000000000, \"workers\": 2",
+            "t:6:7: guarantees[0].count: 4000000000 shapes hold more than 16000 tasks".to_owned(),
+        ),
         ("\"accelerators\": 8", "\"accelerators\": 9", format!("t:6:49: guarantees[0].per_worker.accelerators: 9 is above 8, {above}")),
         ("\"slots\": 4", "\"slots\": 7", format!("t:6:37: guarantees[0].per_worker.slots: 7 is above 6, {above}")),
         ("\"slots\": 4", "\"slots\": 0", "t:6:37: guarantees[0].per_worker.slots: must not be zero".to_owned()),
@@ -167,6 +173,37 @@
     }
 }
 
+/// Guards against a change that reaches a daemon without the checks of the publishing tool.
+#[test]
+fn changes_are_checked_beside_the_teams_in_force() {
+    let in_force = teams(&text("", ""));
+    let bounds = CheckBounds::default();
+    let pier = &teams(&text("quay", "pier").replace(DIGEST, &DIGEST.replace('0', "1")))[0];
+    assert_eq!(
+        check_change(&in_force, std::slice::from_ref(pier), &bounds),
+        Ok(())
+    );
+
+    let mut bad = pier.clone();
+    bad.weight = 0;
+    bad.key_sha256 = in_force[0].key_sha256.clone();
+    let found = check_change(&in_force, &[bad, pier.clone(), pier.clone()], &bounds);
+    let found = found.expect_err("the change is bad");
+    let fields: Vec<_> = found
+        .iter()
+        .map(|problem| (problem.field.as_str(), problem.message.as_str()))
+        .collect();
+    let expected = [
+        (
+            "key_sha256",
+            "quay in the version in force has the same key",
+        ),
+        ("weight", "must not be zero"),
+        ("team", "pier is declared in pier as well"),
+    ];
+    assert_eq!(fields, expected);
+}
+
 /// Guards against a publication that sends unchanged teams, misses a removal or hides a change.
 #[test]
 fn difference_names_each_change() {
