Check that attempts of a job do not overlap

Ruled out: counting every second attempt as broken; a lost attempt is repeated by design. Change: the checker counts attempts of one job that run at the same time. Before a second round of a fault the operators bring all failure domains back, because a gang of 3 has no place with two domains out. Conclusion: the design's rule that an ended attempt no longer runs is checked on every cell.

--- a/standin/src/checker.rs
+++ b/standin/src/checker.rs
@@ -29,7 +29,7 @@
     /// Broken promises, one line each.
     #[derive(Default)]
     pub struct OutcomeReport {
-        /// Work that may not be repeated and was started twice.
+        /// Work that may not be repeated and was started twice, and attempts that ran at once.
         pub run_twice: Vec<String>,
         /// Gangs that ran in part for longer than the bound.
         pub partial_gangs: Vec<String>,
@@ -291,6 +291,7 @@
                 broken.push(format!("job {job} member {member}: attempts {attempts:?}"));
             }
         }
+        broken.extend(self.find_overlaps());
         let twice = self
             .runs
             .iter()
@@ -299,6 +300,22 @@
         broken
     }
 
+    /// Finds attempts of one job that ran at the same time, repeatable or not.
+    fn find_overlaps(&self) -> Vec<String> {
+        let mut broken = Vec::new();
+        for (index, span) in self.spans.iter().enumerate() {
+            let earlier = self.spans[..index].iter();
+            let overlap = earlier
+                .filter(|other| other.task.job == span.task.job)
+                .filter(|other| other.task.attempt != span.task.attempt)
+                .find(|other| other.runs_at(span.started) || span.runs_at(other.started));
+            if let Some(other) = overlap {
+                broken.push(format!("{:?} while {:?} ran", span.task, other.task));
+            }
+        }
+        broken
+    }
+
     fn find_false_refusals(&mut self) {
         let refused = self.refused_keys.iter();
         let ran = refused.filter(|key| self.runs.get(*key).is_some_and(|runs| *runs > 0));
--- a/standin/src/faults.rs
+++ b/standin/src/faults.rs
@@ -22,6 +22,8 @@
     pub regions_cut: bool,
     /// The region that cannot reach the log.
     pub log_cut: Option<RegionName>,
+    /// Extra delay of each command on its way to a worker.
+    pub command_delay: TimeSpan,
     /// Share of messages between daemons that are lost, in percent.
     pub peer_loss: u8,
     /// Share of messages between daemons that arrive twice, in percent.
--- a/standin/src/worker_link.rs
+++ b/standin/src/worker_link.rs
@@ -43,7 +43,7 @@
         if self.take_silence(daemon, worker.as_str()) {
             return self.answer(origin, timeout, lost(CallOutcome::Unknown));
         }
-        let delay = self.delay(&own, &region);
+        let delay = self.delay(&own, &region) + self.network.command_delay;
         let delivery = Delivery::Command {
             origin,
             call,
--- a/standin/tests/models.rs
+++ b/standin/tests/models.rs
@@ -324,7 +324,8 @@
     assert_eq!(report.partial_gangs.len(), 1);
     let report = check(vec![ended(1, first, false), started(25_001, second)]);
     assert_eq!(report.late_starts.len(), 1);
-    let report = check(vec![started(0, first), started(0, task(1, 2, 0))]);
+    let again = started(10, task(1, 2, 0));
+    let report = check(vec![started(0, first), ended(5, first, false), again]);
     assert_eq!(report.run_twice.len(), 1);
     let third = task(2, 1, 0);
     let report = check(vec![
@@ -335,6 +336,22 @@
     assert_eq!(report.over_capacity.len(), 1);
 }
 
+#[test]
+fn the_checker_counts_attempts_that_overlap() {
+    // Guards against a repeatable job whose next attempt starts while the last one still runs.
+    let mut checker = OutcomeChecker::new(&[info("w1")]);
+    checker.accept_job(JobId(1), true);
+    let (first, second) = (task(1, 1, 0), task(1, 2, 0));
+    let facts = vec![
+        started(0, first),
+        started(1_999, second),
+        ended(2_000, first, false),
+        ended(2_500, second, true),
+    ];
+    checker.observe(&"w1".into(), facts);
+    assert_eq!(checker.report(ClockTime(3_000)).run_twice.len(), 1);
+}
+
 #[test]
 fn the_checker_allows_a_lease_while_a_worker_is_silent() {
     // Guards against a bound that is wide for all gangs after one worker was silent.
--- a/tests/cells/fault.rs
+++ b/tests/cells/fault.rs
@@ -46,6 +46,8 @@
     WorkerFails,
     /// A worker's answers are lost.
     WorkerAnswerLost,
+    /// Commands reach the workers after the daemons have given up on them.
+    CommandsLate,
     /// The acting daemon's open connections become silent.
     ConnectionSilent,
     /// The regions do not reach each other.
@@ -80,7 +82,7 @@
 }
 
 /// All columns.
-pub const FAULTS: [CellFault; 27] = [
+pub const FAULTS: [CellFault; 31] = [
     column("no fault", &[]),
     column("daemon killed before", &[SingleFault::KilledBefore]),
     column("daemon killed after", &[SingleFault::KilledAfter]),
@@ -99,6 +101,7 @@
     column("worker paused", &[SingleFault::WorkerPaused]),
     column("worker fails everything", &[SingleFault::WorkerFails]),
     column("worker's answer lost", &[SingleFault::WorkerAnswerLost]),
+    column("commands to workers late", &[SingleFault::CommandsLate]),
     column("connections silent", &[SingleFault::ConnectionSilent]),
     column("region cut", &[SingleFault::RegionCut]),
     column("VM list stale", &[SingleFault::VmStale]),
@@ -110,6 +113,11 @@
         parts: &[SingleFault::KilledAfter],
         twice: true,
     },
+    CellFault {
+        name: "worker dead, twice",
+        parts: &[SingleFault::WorkerDead],
+        twice: true,
+    },
     column(
         "daemon killed + log down 10 s",
         &[SingleFault::KilledAfter, SingleFault::LogDown],
@@ -126,6 +134,14 @@
         "append answer lost + daemon killed",
         &[SingleFault::AppendAnswerLost, SingleFault::KilledAfter],
     ),
+    column(
+        "worker's answer lost + daemon killed",
+        &[SingleFault::WorkerAnswerLost, SingleFault::KilledAfter],
+    ),
+    column(
+        "commands late + daemon paused",
+        &[SingleFault::CommandsLate, SingleFault::Paused],
+    ),
     column(
         "worker dead + log down 10 s",
         &[SingleFault::WorkerDead, SingleFault::LogDown],
@@ -209,9 +225,13 @@
             | Self::AppendTwice
             | Self::LogDown
             | Self::PeersLossy
-            | Self::WorkerAnswerLost => 10,
-            Self::LogCut | Self::WorkerPaused => 20,
-            Self::RegionCut | Self::WorkerFails | Self::VmStale => 30,
+            | Self::CommandsLate => 10,
+            Self::LogCut => 20,
+            Self::RegionCut
+            | Self::WorkerPaused
+            | Self::WorkerAnswerLost
+            | Self::WorkerFails
+            | Self::VmStale => 30,
             Self::Paused => 50,
             Self::WorkerDead => 60,
             Self::LogDownHours => 7_200,
@@ -251,6 +271,7 @@
             Self::WorkerPaused => worker(|fault| fault.paused = true, driver),
             Self::WorkerFails => worker(|fault| fault.fails_everything = true, driver),
             Self::WorkerAnswerLost => worker(|fault| fault.loses_answers = true, driver),
+            Self::CommandsLate => driver.network.command_delay = TimeSpan(2_500),
             Self::ConnectionSilent => driver.silence(actor),
             Self::RegionCut => driver.network.regions_cut = true,
             Self::PeersLossy => {
--- a/tests/cells/mod.rs
+++ b/tests/cells/mod.rs
@@ -161,6 +161,10 @@
     let rounds = if fault.twice { 2 } else { 1 };
     let mut broken = Vec::new();
     for round in 0..rounds {
+        if round > 0 {
+            scene::bring_all_back(&mut run.driver);
+            run.advance(TimeSpan::from_secs(5));
+        }
         match step.reach(&mut run) {
             Some(actor) => fault.run(&mut run, actor),
             None if round == 0 => broken.push("the step was not reached".to_owned()),
--- a/tests/cells/scene.rs
+++ b/tests/cells/scene.rs
@@ -197,6 +197,15 @@
     driver.send(daemon, operator_credential(), command, b"")
 }
 
+/// Brings all failure domains back.
+pub fn bring_all_back(driver: &mut SimDriver) {
+    for (domain, _, _) in DOMAINS {
+        if driver.ledger().is_out(&domain.into()) {
+            set_domain(driver, domain, false);
+        }
+    }
+}
+
 /// Cancels the gang, when it is on record.
 pub fn cancel_gang(driver: &mut SimDriver) {
     let mut jobs = driver.ledger().jobs.iter();
--- a/tests/cells/step.rs
+++ b/tests/cells/step.rs
@@ -31,6 +31,8 @@
     Record,
     /// The planner sends the first start.
     Start,
+    /// The planner sends the start of the job that may not be repeated.
+    StartOnce,
     /// A daemon renews a lease while work runs.
     Renew,
     /// A worker has the end of a task to report.
@@ -58,12 +60,13 @@
 }
 
 /// All steps.
-pub const STEPS: [CellStep; 17] = [
+pub const STEPS: [CellStep; 18] = [
     CellStep::Accept,
     CellStep::Place,
     CellStep::Reserve,
     CellStep::Record,
     CellStep::Start,
+    CellStep::StartOnce,
     CellStep::Renew,
     CellStep::Report,
     CellStep::Checkpoint,
@@ -176,6 +179,7 @@
             ControlEffect::CallWorker { command, .. } => match self {
                 Self::Place => matches!(command, WorkerCommand::Reserve { .. }),
                 Self::Start => matches!(command, WorkerCommand::Start { .. }),
+                Self::StartOnce => is_start_of(command, "once"),
                 Self::Renew => matches!(command, WorkerCommand::Renew { .. }),
                 Self::Checkpoint => matches!(
                     command,
@@ -215,6 +219,13 @@
     }
 }
 
+fn is_start_of(command: &WorkerCommand, service: &str) -> bool {
+    match command {
+        WorkerCommand::Start { run, .. } => run.service.as_str() == service,
+        _ => false,
+    }
+}
+
 /// Returns the daemon that holds the term.
 pub fn planner(driver: &SimDriver) -> Option<usize> {
     let holder = ledger::holder(driver.ledger())?;
