--- a/tests/cells/mod.rs
+++ b/tests/cells/mod.rs
@@ -166,8 +166,8 @@
             None if round == 0 => broken.push("the step was not reached".to_owned()),
             None => {}
         }
+        scene::bring_all_back(&mut run);
     }
-    scene::bring_all_back(&mut run);
     run.settle();
     broken.extend(run.broken(step.spares_work() && fault.spares_work()));
     (broken, run.driver.trace().to_vec())
