--- a/tests/cells/step.rs
+++ b/tests/cells/step.rs
@@ -41,6 +41,8 @@
     Checkpoint,
     /// The planner stops a task.
     Stop,
+    /// A daemon sends a request that may not be repeated to its endpoint.
+    Send,
     /// A daemon sends the end record of a request that may not be repeated.
     Answer,
     /// A daemon sends a change of the configuration.
@@ -60,7 +62,7 @@
 }
 
 /// All steps.
-pub const STEPS: [CellStep; 18] = [
+pub const STEPS: [CellStep; 19] = [
     CellStep::Accept,
     CellStep::Place,
     CellStep::Reserve,
@@ -71,6 +73,7 @@
     CellStep::Report,
     CellStep::Checkpoint,
     CellStep::Stop,
+    CellStep::Send,
     CellStep::Answer,
     CellStep::Publish,
     CellStep::TakeOut,
@@ -196,6 +199,9 @@
                 let mut bodies = records.iter().map(|record| &record.body);
                 bodies.any(|body| self.is_marked_by_record(body))
             }
+            ControlEffect::SendRequest { service, .. } => {
+                self == Self::Send && service.as_str() == "ask-once"
+            }
             ControlEffect::WriteSnapshot { .. } => self == Self::Snapshot,
             ControlEffect::Note { line, .. } => self == Self::ShutDown && line == "draining",
             _ => false,
