--- a/tests/cells/fault.rs
+++ b/tests/cells/fault.rs
@@ -1,7 +1,6 @@
 //! Faults of the cells: how each is injected, how long it lasts and how it is healed.
 
 use super::CellRun;
-use super::client::REQUESTS_SERVED;
 use super::scene;
 use super::step;
 use super::step::CellStep;
@@ -155,9 +154,6 @@
         if cancels && step == CellStep::Accept {
             return Some("a job has no id to cancel before its acceptance is stored");
         }
-        if step == CellStep::Answer && !REQUESTS_SERVED {
-            return Some("the daemons do not serve short requests yet");
-        }
         None
     }
 
@@ -303,7 +299,9 @@
 fn victim(driver: &SimDriver) -> WorkerName {
     let mut effects = driver.pending().iter().map(|(_, effect)| effect);
     let called = effects.find_map(|effect| match effect {
-        ControlEffect::CallWorker { worker, .. } => Some(worker.clone()),
+        ControlEffect::CallWorker { worker, .. } | ControlEffect::SendRequest { worker, .. } => {
+            Some(worker.clone())
+        }
         _ => None,
     });
     let of_gang = || step::gang_workers(driver).first().cloned();
