--- a/core/src/call.rs
+++ b/core/src/call.rs
@@ -4,6 +4,7 @@
 
 use crate::context::StepContext;
 use crate::effect::ControlEffect;
+use crate::ending;
 use crate::event::CallOutcome;
 use crate::gang;
 use crate::ids::CallId;
@@ -131,7 +132,7 @@
         (CallPurpose::Reserve { task }, _) => gang::reserved(state, &task, outcome, context),
         (CallPurpose::Start { task }, _) => gang::started(state, &task, outcome, context),
         (CallPurpose::Stop { job, attempt }, _) => {
-            gang::stopped(state, worker, job, attempt, outcome, context);
+            ending::stopped(state, worker, job, attempt, outcome, context);
         }
         (
             CallPurpose::Renew
--- a/core/src/caller.rs
+++ b/core/src/caller.rs
@@ -3,13 +3,8 @@
 use indexmap::IndexMap;
 use indexmap::IndexSet;
 
-use crate::collection;
-use crate::collection::CheckBounds;
-use crate::config::ServiceSpec;
 use crate::config::TeamFile;
-use crate::config::WorkKind;
 use crate::context::StepContext;
-use crate::document::FileProblem;
 use crate::domain;
 use crate::domain::DomainCommand;
 use crate::dump;
@@ -19,12 +14,8 @@
 use crate::effect::MetricName;
 use crate::event::CallerCommand;
 use crate::event::CallerCredential;
-use crate::event::JobRequest;
 use crate::explain;
-use crate::fleet;
-use crate::guarantee;
 use crate::ids::CallerId;
-use crate::ids::ConfigVersion;
 use crate::ids::JobId;
 use crate::ids::RequestKey;
 use crate::ids::TeamName;
@@ -37,19 +28,17 @@
 use crate::ledger::VoidReason;
 use crate::outbox::RecordPurpose;
 use crate::outbox::SettledRecord;
-use crate::record::JobOrder;
+use crate::publication;
 use crate::record::RecordBody;
 use crate::record::RequestEnd;
 use crate::request;
 use crate::state::DaemonState;
+use crate::submission;
 use crate::units::ClockTime;
 use crate::units::TimeSpan;
 
 /// Longest wait for the end of a job in one exchange. A caller asks again after it.
-const LONGEST_WAIT: TimeSpan = TimeSpan::from_secs(60);
-
-/// Problems of a published change that its answer names, to keep the answer short.
-const PROBLEMS_SHOWN: usize = 10;
+pub(crate) const LONGEST_WAIT: TimeSpan = TimeSpan::from_secs(60);
 
 /// Callers who wait for a record's read-back or for the end of a job.
 #[derive(Clone, Debug, Default)]
@@ -72,6 +61,11 @@
     pub fn is_empty(&self) -> bool {
         self.len() == 0
     }
+
+    /// Notes that a caller waits for the read-back of its record.
+    pub(crate) fn expect_record(&mut self, caller: CallerId) {
+        self.records.insert(caller);
+    }
 }
 
 /// Carries out a command.
@@ -83,7 +77,7 @@
     context: &mut StepContext<'_>,
 ) {
     match command {
-        CallerCommand::Submit(job) => submit(state, caller, credential, job, context),
+        CallerCommand::Submit(job) => submission::submit(state, caller, credential, job, context),
         CallerCommand::JobStatus { team, job } => {
             let answer = find_job(state, credential, team, *job)
                 .map(|record| CallerAnswer::Job(job_view(*job, record, false)));
@@ -120,13 +114,13 @@
             remove,
             operator,
         } => {
-            let change = ConfigChange {
+            let change = publication::ConfigChange {
                 base: *base,
                 upsert,
                 remove,
                 operator,
             };
-            publish(state, caller, credential, &change, context);
+            publication::publish(state, caller, credential, &change, context);
         }
         CallerCommand::DomainSet {
             domain,
@@ -180,7 +174,7 @@
     }
 }
 
-fn respond(
+pub(crate) fn respond(
     caller: CallerId,
     answer: Result<CallerAnswer, FailureReport>,
     context: &mut StepContext<'_>,
@@ -216,7 +210,7 @@
     Ok(())
 }
 
-fn require_operator(
+pub(crate) fn require_operator(
     state: &DaemonState,
     credential: &CallerCredential,
 ) -> Result<(), FailureReport> {
@@ -255,7 +249,7 @@
     }
 }
 
-fn find_job<'a>(
+pub(crate) fn find_job<'a>(
     state: &'a DaemonState,
     credential: &CallerCredential,
     team: &TeamName,
@@ -292,7 +286,7 @@
     }
 }
 
-fn key_view(
+pub(crate) fn key_view(
     state: &DaemonState,
     team: &TeamName,
     key: &RequestKey,
@@ -335,147 +329,7 @@
     Ok(view)
 }
 
-fn submit(
-    state: &mut DaemonState,
-    caller: CallerId,
-    credential: &CallerCredential,
-    job: &JobRequest,
-    context: &mut StepContext<'_>,
-) {
-    let order = match check_submission(state, credential, job, context.at) {
-        Ok(Submission::New(order)) => order,
-        Ok(Submission::Known(view)) => {
-            context.reply(caller, CallerAnswer::Job(view));
-            return;
-        }
-        Err(report) => {
-            context.fail(caller, report.kind, report.detail);
-            return;
-        }
-    };
-    state.callers.records.insert(caller);
-    let body = RecordBody::JobAccepted { order };
-    state
-        .outbox
-        .push(context.at, body, RecordPurpose::Submit { caller });
-}
-
-/// What a valid submission asks for.
-enum Submission {
-    New(JobOrder),
-    Known(JobView),
-}
-
-fn check_submission(
-    state: &DaemonState,
-    credential: &CallerCredential,
-    job: &JobRequest,
-    at: ClockTime,
-) -> Result<Submission, FailureReport> {
-    check_ready(state)?;
-    let file = authorize(state, credential, &job.team)?;
-    let spec = file.services.get(&job.service).ok_or_else(|| {
-        let detail = format!("team {} declares no service {}", job.team, job.service);
-        FailureReport::new(ErrorKind::UnknownService, detail)
-    })?;
-    let order = make_order(state, spec, job)?;
-    if let Some(known) = known_job(state, &order)? {
-        return Ok(Submission::Known(known));
-    }
-    check_admission(state, file, at)?;
-    let workers: Vec<_> = state
-        .members
-        .workers
-        .values()
-        .map(|entry| &entry.info)
-        .collect();
-    let slots = fleet::idle_slots(&workers, state.settings.limits.request_slots);
-    guarantee::can_ever_run(&order, &slots, &state.ledger.config.teams)
-        .map_err(|reason| FailureReport::new(ErrorKind::NeverFits, reason))?;
-    Ok(Submission::New(order))
-}
-
-fn make_order(
-    state: &DaemonState,
-    spec: &ServiceSpec,
-    job: &JobRequest,
-) -> Result<JobOrder, FailureReport> {
-    let limits = &state.settings.limits;
-    if spec.work != WorkKind::Job {
-        let detail = format!("service {} takes short requests, not jobs", job.service);
-        return Err(FailureReport::new(ErrorKind::BadRequest, detail));
-    }
-    if job.key.as_str().is_empty() || job.key.as_str().len() > limits.name_bytes as usize {
-        let detail = format!("the key must have 1 to {} bytes", limits.name_bytes);
-        return Err(FailureReport::new(ErrorKind::BadRequest, detail));
-    }
-    if job.payload.len() as u64 > limits.payload.0 {
-        let detail = format!("the payload is over {} bytes", limits.payload);
-        return Err(FailureReport::new(ErrorKind::TooLarge, detail));
-    }
-    let mut spec = spec.clone();
-    spec.members = job.members.unwrap_or(spec.members);
-    spec.run_time = job.run_time.unwrap_or(spec.run_time);
-    spec.deadline = job.deadline.or(spec.deadline);
-    if spec.members == 0 || spec.members > limits.gang_members {
-        let detail = format!("a gang has 1 to {} members", limits.gang_members);
-        return Err(FailureReport::new(ErrorKind::BadRequest, detail));
-    }
-    Ok(JobOrder {
-        team: job.team.clone(),
-        service: job.service.clone(),
-        key: job.key.clone(),
-        spec,
-        payload: job.payload.clone(),
-    })
-}
-
-fn known_job(state: &DaemonState, order: &JobOrder) -> Result<Option<JobView>, FailureReport> {
-    let Some(entry) = state.ledger.key(&order.team, &order.key) else {
-        return Ok(None);
-    };
-    let known = match &entry.state {
-        KeyState::Job { job } if entry.service == order.service => state
-            .ledger
-            .jobs
-            .get(job)
-            .map(|record| job_view(*job, record, true)),
-        _ => None,
-    };
-    known.map(Some).ok_or_else(|| {
-        FailureReport::new(
-            ErrorKind::KeyConflict,
-            "the key was used for different work",
-        )
-    })
-}
-
-fn check_admission(
-    state: &DaemonState,
-    file: &TeamFile,
-    at: ClockTime,
-) -> Result<(), FailureReport> {
-    let limits = &state.settings.limits;
-    if !state.reader.is_fresh(at, state.settings.timing.freshness) {
-        let detail = "the log has not answered; nothing was accepted";
-        return Err(FailureReport::new(ErrorKind::LogUnavailable, detail));
-    }
-    let overloaded = |detail: &str| Err(FailureReport::new(ErrorKind::Overloaded, detail));
-    if state.ledger.waiting_of(&file.team) >= file.limits.waiting_jobs as usize {
-        return overloaded("the team has too many waiting jobs");
-    }
-    if state.ledger.queued_count() >= limits.waiting_jobs as usize {
-        return overloaded("too many jobs wait");
-    }
-    if !state.outbox.has_room_for_job(limits)
-        || state.callers.len() >= limits.waiting_callers as usize
-    {
-        return overloaded("the log is slow; too many records wait");
-    }
-    Ok(())
-}
-
-fn wait_for_job(
+pub(crate) fn wait_for_job(
     state: &mut DaemonState,
     caller: CallerId,
     credential: &CallerCredential,
@@ -500,7 +354,7 @@
     state.callers.jobs.insert(caller, (job, until));
 }
 
-fn cancel(
+pub(crate) fn cancel(
     state: &mut DaemonState,
     caller: CallerId,
     credential: &CallerCredential,
@@ -532,100 +386,6 @@
     }
 }
 
-/// A change of team files as an operator asks for it.
-struct ConfigChange<'a> {
-    base: ConfigVersion,
-    upsert: &'a [TeamFile],
-    remove: &'a [TeamName],
-    operator: &'a str,
-}
-
-fn publish(
-    state: &mut DaemonState,
-    caller: CallerId,
-    credential: &CallerCredential,
-    change: &ConfigChange<'_>,
-    context: &mut StepContext<'_>,
-) {
-    if let Err(report) = check_change(state, credential, change, context.at) {
-        context.fail(caller, report.kind, report.detail);
-        return;
-    }
-    state.callers.records.insert(caller);
-    let body = RecordBody::ConfigChanged {
-        base: change.base,
-        upsert: change.upsert.to_vec(),
-        remove: change.remove.to_vec(),
-        operator: change.operator.to_owned(),
-    };
-    state
-        .outbox
-        .push(context.at, body, RecordPurpose::Publish { caller });
-}
-
-fn check_change(
-    state: &DaemonState,
-    credential: &CallerCredential,
-    change: &ConfigChange<'_>,
-    at: ClockTime,
-) -> Result<(), FailureReport> {
-    require_operator(state, credential)?;
-    check_ready(state)?;
-    if !state.reader.is_fresh(at, state.settings.timing.freshness) {
-        return Err(FailureReport::new(
-            ErrorKind::LogUnavailable,
-            "the log has not answered",
-        ));
-    }
-    let in_force = &state.ledger.config;
-    if change.base != in_force.version {
-        let detail = format!(
-            "{} published version {} first; the change was made against version {}",
-            in_force.operator, in_force.version, change.base
-        );
-        return Err(FailureReport::new(ErrorKind::LostRace, detail));
-    }
-    if !state.outbox.has_room(&state.settings.limits) {
-        return Err(FailureReport::new(
-            ErrorKind::Overloaded,
-            "too many records wait",
-        ));
-    }
-    let mut teams = in_force.teams.clone();
-    for team in change.remove {
-        teams.shift_remove(team);
-    }
-    for file in change.upsert {
-        teams.shift_remove(&file.team);
-    }
-    let workers: Vec<_> = state
-        .members
-        .workers
-        .values()
-        .map(|entry| &entry.info)
-        .collect();
-    let limits = &state.settings.limits;
-    let slots = fleet::idle_slots(&workers, limits.request_slots);
-    let offered = slots.values().map(|slot| &slot.offered);
-    let bounds = CheckBounds::of_workers(offered, limits.gang_members);
-    collection::check_change(&teams, change.upsert, &bounds)
-        .map_err(|problems| FailureReport::new(ErrorKind::BadConfig, describe(&problems)))?;
-    for file in change.upsert {
-        teams.insert(file.team.clone(), file.clone());
-    }
-    guarantee::check_config(&teams, &slots)
-        .map_err(|reason| FailureReport::new(ErrorKind::BadConfig, reason))
-}
-
-/// Returns the first problems of a change as one line.
-fn describe(problems: &[FileProblem]) -> String {
-    let lines = problems.iter().take(PROBLEMS_SHOWN);
-    let lines: Vec<_> = lines
-        .map(|problem| format!("{}: {}: {}", problem.file, problem.field, problem.message))
-        .collect();
-    lines.join("; ")
-}
-
 /// Answers the caller of a record that was read back.
 pub fn settled(
     state: &mut DaemonState,
@@ -643,7 +403,7 @@
                 context.count(MetricName::JobsAccepted, 1);
             }
             let duplicate = *effect != RecordEffect::Applied;
-            answer_submission(state, caller, order, duplicate, context);
+            submission::answer_submission(state, caller, order, duplicate, context);
         }
         (RecordBody::JobCancelled { job }, _) => match state.ledger.jobs.get(job) {
             Some(record) => context.reply(caller, CallerAnswer::Job(job_view(*job, record, false))),
@@ -661,23 +421,6 @@
     }
 }
 
-fn answer_submission(
-    state: &DaemonState,
-    caller: CallerId,
-    order: &JobOrder,
-    duplicate: bool,
-    context: &mut StepContext<'_>,
-) {
-    match known_job(state, order) {
-        Ok(Some(mut view)) => {
-            view.duplicate = duplicate;
-            context.reply(caller, CallerAnswer::Job(view));
-        }
-        Ok(None) => context.fail(caller, ErrorKind::OutcomeUnknown, "ask again with the key"),
-        Err(report) => context.fail(caller, report.kind, report.detail),
-    }
-}
-
 /// Tells a caller that its record was never handed to the log.
 pub fn withdrawn(state: &mut DaemonState, caller: CallerId, context: &mut StepContext<'_>) {
     if state.callers.records.swap_remove(&caller) {
@@ -713,7 +456,7 @@
     answer_waiters(state, |waiter| draining || at >= waiter.1, context);
 }
 
-fn answer_waiters(
+pub(crate) fn answer_waiters(
     state: &mut DaemonState,
     test: impl Fn(&(JobId, ClockTime)) -> bool,
     context: &mut StepContext<'_>,
--- /dev/null
+++ b/core/src/ending.rs
@@ -0,0 +1,161 @@
+//! The end of an attempt: stop the members, wait until none runs, record the end.
+
+use crate::call;
+use crate::call::CallPurpose;
+use crate::context::StepContext;
+use crate::effect::MetricName;
+use crate::event::CallOutcome;
+use crate::ids::JobId;
+use crate::ids::WorkerName;
+use crate::outbox::RecordPurpose;
+use crate::plan;
+use crate::record::AttemptEnd;
+use crate::record::RecordBody;
+use crate::run;
+use crate::run::GangStage;
+use crate::state::DaemonState;
+use crate::term;
+use crate::worker::WorkerCommand;
+use crate::worker::WorkerRefusal;
+use crate::worker::WorkerReply;
+
+/// Stops all members that may run and drops their reservations.
+pub fn begin_stop(
+    state: &mut DaemonState,
+    job: JobId,
+    end: AttemptEnd,
+    context: &mut StepContext<'_>,
+) {
+    let Some(run) = state.planner.runs.get_mut(&job) else {
+        return;
+    };
+    if matches!(run.stage, GangStage::Stopping { .. } | GangStage::Closing) {
+        return;
+    }
+    run.enter(GangStage::Stopping { end }, context.at);
+    run.stop_open = run
+        .workers
+        .iter()
+        .filter(|worker| !run.is_settled_on(worker))
+        .cloned()
+        .collect();
+    state.planner.unsettled.insert(job);
+    send_stops(state, job, context);
+    close_when_stopped(state, job, context);
+}
+
+pub(crate) fn send_stops(state: &mut DaemonState, job: JobId, context: &mut StepContext<'_>) {
+    let retry = state.settings.timing.reclaim + state.settings.timing.call;
+    let term = state.ledger.term.number;
+    let Some(run) = state.planner.runs.get_mut(&job) else {
+        return;
+    };
+    run.retry_at = context.at + retry;
+    let attempt = run.attempt;
+    for worker in run.stop_open.clone() {
+        let command = WorkerCommand::Stop {
+            term,
+            job,
+            attempt,
+            checkpoint: true,
+        };
+        call::send(
+            state,
+            &worker,
+            command,
+            CallPurpose::Stop { job, attempt },
+            context,
+        );
+    }
+}
+
+/// Takes the answer to a stop.
+pub fn stopped(
+    state: &mut DaemonState,
+    worker: &WorkerName,
+    job: JobId,
+    attempt: u32,
+    outcome: &CallOutcome,
+    context: &mut StepContext<'_>,
+) {
+    let Some(run) = state.planner.runs.get_mut(&job) else {
+        return;
+    };
+    if run.attempt != attempt || !matches!(run.stage, GangStage::Stopping { .. }) {
+        return;
+    }
+    match outcome {
+        CallOutcome::Reply {
+            reply: WorkerReply::Stopped { tasks },
+        } => {
+            run::settle_worker(run, worker, tasks);
+            close_when_stopped(state, job, context);
+        }
+        CallOutcome::Reply {
+            reply:
+                WorkerReply::Refused {
+                    refusal: WorkerRefusal::UnknownTask,
+                },
+        } => {
+            run::settle_worker(run, worker, &[]);
+            close_when_stopped(state, job, context);
+        }
+        _ => {}
+    }
+}
+
+pub(crate) fn close_when_stopped(
+    state: &mut DaemonState,
+    job: JobId,
+    context: &mut StepContext<'_>,
+) {
+    let Some(run) = state.planner.runs.get(&job) else {
+        return;
+    };
+    if !run.stop_open.is_empty() {
+        return;
+    }
+    if run.recorded {
+        close(state, job, context);
+    } else if !state.outbox.contains(&RecordPurpose::Placement {
+        job,
+        attempt: run.attempt,
+    }) {
+        state.planner.remove_run(job);
+    }
+}
+
+/// Records the end of an attempt of which no member runs.
+pub(crate) fn close(state: &mut DaemonState, job: JobId, context: &mut StepContext<'_>) {
+    if !term::is_planner(state, context.at) {
+        // The tick closes the attempt once the term has been renewed.
+        state.planner.unsettled.insert(job);
+        return;
+    }
+    let Some(record) = state.ledger.jobs.get(&job) else {
+        return;
+    };
+    let Some(run) = state.planner.runs.get_mut(&job) else {
+        return;
+    };
+    let end = run::attempt_end(run, record.order.spec.repeatable, record.cancelled);
+    let checkpoint = run.checkpoints.iter().copied().min().unwrap_or_default();
+    let attempt = run.attempt;
+    run.enter(GangStage::Closing, context.at);
+    state.planner.unsettled.insert(job);
+    plan::observe_end(state, job, &end, context.at);
+    if end == AttemptEnd::Preempted {
+        context.count(MetricName::AttemptsPreempted, 1);
+    }
+    let term = state.ledger.term.number;
+    let body = RecordBody::AttemptEnded {
+        term,
+        job,
+        attempt,
+        end,
+        checkpoint,
+    };
+    state
+        .outbox
+        .push(context.at, body, RecordPurpose::AttemptEnd { job });
+}
--- a/core/src/history.rs
+++ b/core/src/history.rs
@@ -7,6 +7,7 @@
 use crate::effect::LogPart;
 use crate::effect::MetricName;
 use crate::effect::PeerMessage;
+use crate::ending;
 use crate::event::ReadOutcome;
 use crate::gang;
 use crate::ids::DaemonName;
@@ -181,7 +182,7 @@
         }
         RecordBody::JobAccepted { .. } => state.planner.dirty = true,
         RecordBody::JobCancelled { job } => {
-            gang::begin_stop(state, *job, AttemptEnd::Cancelled, context);
+            ending::begin_stop(state, *job, AttemptEnd::Cancelled, context);
             job_changed(state, *job, context);
         }
         RecordBody::AttemptEnded { job, .. } => {
--- /dev/null
+++ b/core/src/key_rules.rs
@@ -0,0 +1,184 @@
+//! Rules of the ledger for idempotency keys, and what it forgets after the retention time.
+
+use crate::ids::RequestKey;
+use crate::ids::ServiceName;
+use crate::ids::TeamName;
+use crate::ids::WriterId;
+use crate::ledger::JobPhase;
+use crate::ledger::KeyEntry;
+use crate::ledger::KeyState;
+use crate::ledger::LedgerState;
+use crate::ledger::RecordEffect;
+use crate::ledger::VoidReason;
+use crate::record::LogRecord;
+use crate::record::RequestEnd;
+use crate::units::ClockTime;
+use crate::units::TimeSpan;
+
+/// Time that ended jobs, ended keys and silent writers are kept, by the times in the records.
+pub const RETENTION: TimeSpan = TimeSpan::from_secs(86_400);
+
+/// Bytes of answers kept for keys. The oldest bodies are dropped first.
+pub const KEPT_ANSWER_BYTES: usize = 16 << 20;
+
+/// Writers beyond which silent ones are forgotten: at 110 restarts a day, a few days' worth.
+const WRITERS_KEPT: usize = 512;
+
+impl LedgerState {
+    pub(crate) fn insert_key(&mut self, team: &TeamName, key: &RequestKey, entry: KeyEntry) {
+        self.aging_keys
+            .push_back((entry.at, team.clone(), key.clone()));
+        self.keys
+            .entry(team.clone())
+            .or_default()
+            .insert(key.clone(), entry);
+    }
+
+    pub(crate) fn intend(
+        &mut self,
+        team: &TeamName,
+        key: &RequestKey,
+        service: &ServiceName,
+        digest: u64,
+        record: &LogRecord,
+    ) -> RecordEffect {
+        let state = KeyState::Intent {
+            writer: record.writer.clone(),
+        };
+        match self.keys.get_mut(team).and_then(|keys| keys.get_mut(key)) {
+            None => {
+                let entry = KeyEntry::new(service, digest, record.at, state);
+                self.insert_key(team, key, entry);
+                RecordEffect::Applied
+            }
+            Some(entry) if entry.is_free_again() && entry.digest == digest => {
+                entry.state = state;
+                RecordEffect::Applied
+            }
+            Some(_) => RecordEffect::Void(VoidReason::KeyTaken),
+        }
+    }
+
+    pub(crate) fn finish_request(
+        &mut self,
+        team: &TeamName,
+        key: &RequestKey,
+        end: &RequestEnd,
+        writer: &WriterId,
+    ) -> RecordEffect {
+        let entry = self.keys.get_mut(team).and_then(|keys| keys.get_mut(key));
+        let Some(entry) = entry else {
+            return RecordEffect::Void(VoidReason::WrongPhase);
+        };
+        if entry.state
+            != (KeyState::Intent {
+                writer: writer.clone(),
+            })
+        {
+            return RecordEffect::Void(VoidReason::WrongPhase);
+        }
+        entry.state = KeyState::Done { end: end.clone() };
+        if let RequestEnd::Answered {
+            body: Some(body), ..
+        } = end
+        {
+            self.kept_bytes += body.len();
+            self.kept_bodies.push_back((team.clone(), key.clone()));
+        }
+        self.drop_old_bodies();
+        RecordEffect::Applied
+    }
+
+    pub(crate) fn drop_old_bodies(&mut self) {
+        while self.kept_bytes > KEPT_ANSWER_BYTES {
+            let Some((team, key)) = self.kept_bodies.pop_front() else {
+                return;
+            };
+            let entry = self.keys.get_mut(&team).and_then(|keys| keys.get_mut(&key));
+            if let Some(entry) = entry {
+                self.kept_bytes -= entry.take_body();
+            }
+        }
+    }
+
+    pub(crate) fn forget_old(&mut self) {
+        let limit = self.clock - RETENTION;
+        while self.ended_jobs.front().is_some_and(|(at, _)| *at < limit) {
+            if let Some((_, job)) = self.ended_jobs.pop_front() {
+                self.jobs.swap_remove(&job);
+            }
+        }
+        while self
+            .aging_keys
+            .front()
+            .is_some_and(|(at, _, _)| *at < limit)
+        {
+            self.forget_oldest_key();
+        }
+        if self.writers.len() > WRITERS_KEPT {
+            self.writers.retain(|_, mark| mark.at >= limit);
+        }
+    }
+
+    pub(crate) fn forget_oldest_key(&mut self) {
+        let Some((at, team, key)) = self.aging_keys.pop_front() else {
+            return;
+        };
+        if self.is_key_in_use(&team, &key) {
+            self.aging_keys.push_back((self.clock, team, key));
+            return;
+        }
+        let Some(keys) = self.keys.get_mut(&team) else {
+            return;
+        };
+        if keys.get(&key).is_some_and(|entry| entry.at <= at)
+            && let Some(mut entry) = keys.swap_remove(&key)
+        {
+            self.kept_bytes = self.kept_bytes.saturating_sub(entry.take_body());
+        }
+        if keys.is_empty() {
+            self.keys.swap_remove(&team);
+        }
+    }
+
+    /// A job keeps its key as long as it has not ended.
+    pub(crate) fn is_key_in_use(&self, team: &TeamName, key: &RequestKey) -> bool {
+        match self.key(team, key).map(|entry| &entry.state) {
+            Some(KeyState::Job { job }) => self
+                .jobs
+                .get(job)
+                .is_some_and(|record| !matches!(record.phase, JobPhase::Ended { .. })),
+            _ => false,
+        }
+    }
+}
+
+impl KeyEntry {
+    pub(crate) fn new(service: &ServiceName, digest: u64, at: ClockTime, state: KeyState) -> Self {
+        Self {
+            service: service.clone(),
+            digest,
+            at,
+            state,
+        }
+    }
+
+    /// Tells whether the key may be used once more because its request never ran.
+    pub(crate) fn is_free_again(&self) -> bool {
+        matches!(
+            self.state,
+            KeyState::Done {
+                end: RequestEnd::NotRun
+            }
+        )
+    }
+
+    pub(crate) fn take_body(&mut self) -> usize {
+        match &mut self.state {
+            KeyState::Done {
+                end: RequestEnd::Answered { body, .. },
+            } => body.take().map_or(0, |body| body.len()),
+            _ => 0,
+        }
+    }
+}
--- a/core/src/ledger.rs
+++ b/core/src/ledger.rs
@@ -1,7 +1,5 @@
 //! The state that every daemon derives from the control stream.
 
-use std::collections::BTreeMap;
-use std::collections::BTreeSet;
 use std::collections::VecDeque;
 
 use indexmap::IndexMap;
@@ -22,7 +20,7 @@
 use crate::ids::TermNumber;
 use crate::ids::WorkerName;
 use crate::ids::WriterId;
-use crate::record::AttemptEnd;
+use crate::job_index::JobIndex;
 use crate::record::JobOrder;
 use crate::record::LogRecord;
 use crate::record::RecordBody;
@@ -30,16 +28,6 @@
 use crate::units::ClockTime;
 use crate::units::TimeSpan;
 
-/// Failed attempts after which a repeatable job ends as failed. Part of the ledger's rules, so it
-/// is the same at every daemon and no setting.
-pub const JOB_FAILURE_LIMIT: usize = 3;
-
-/// Time that ended jobs, ended keys and silent writers are kept, by the times in the records.
-pub const RETENTION: TimeSpan = TimeSpan::from_secs(86_400);
-
-/// Bytes of answers kept for keys. The oldest bodies are dropped first.
-pub const KEPT_ANSWER_BYTES: usize = 16 << 20;
-
 plain_data! {
     /// Where a job stands in the ledger.
     #[serde(tag = "phase", rename_all = "snake_case")]
@@ -210,104 +198,16 @@
     /// Keys that have not been forgotten.
     pub keys: IndexMap<TeamName, IndexMap<RequestKey, KeyEntry>>,
     /// Ended jobs in the order of their end.
-    ended_jobs: VecDeque<(ClockTime, JobId)>,
+    pub(crate) ended_jobs: VecDeque<(ClockTime, JobId)>,
     /// Keys in the order of their first record.
-    aging_keys: VecDeque<(ClockTime, TeamName, RequestKey)>,
+    pub(crate) aging_keys: VecDeque<(ClockTime, TeamName, RequestKey)>,
     /// Keys with a kept body in the order of their end.
-    kept_bodies: VecDeque<(TeamName, RequestKey)>,
+    pub(crate) kept_bodies: VecDeque<(TeamName, RequestKey)>,
     /// Bytes of kept bodies.
-    kept_bytes: usize,
+    pub(crate) kept_bytes: usize,
     /// Indexes over `jobs`, rebuilt after decoding.
     #[serde(skip)]
-    index: JobIndex,
-}
-
-/// Indexes over the jobs, so that no event has to look at all of them.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-struct JobIndex {
-    queued: BTreeSet<JobId>,
-    placed: BTreeSet<JobId>,
-    waiting_by_team: BTreeMap<TeamName, usize>,
-    tasks: BTreeMap<WorkerName, BTreeSet<TaskId>>,
-    used: BTreeMap<WorkerName, ResourceDemand>,
-}
-
-impl JobIndex {
-    fn insert(&mut self, job: JobId, record: &JobRecord) {
-        match &record.phase {
-            JobPhase::Queued => {
-                self.queued.insert(job);
-                *self
-                    .waiting_by_team
-                    .entry(record.order.team.clone())
-                    .or_default() += 1;
-            }
-            JobPhase::Placed { workers, .. } => {
-                self.placed.insert(job);
-                self.insert_tasks(job, record, workers);
-            }
-            JobPhase::Ended { .. } => {}
-        }
-    }
-
-    fn insert_tasks(&mut self, job: JobId, record: &JobRecord, workers: &[WorkerName]) {
-        for (member, worker) in (0..).zip(workers) {
-            let task = TaskId {
-                job,
-                attempt: record.attempt,
-                member,
-            };
-            self.tasks.entry(worker.clone()).or_default().insert(task);
-            self.used
-                .entry(worker.clone())
-                .or_default()
-                .add(&record.order.spec.demand);
-        }
-    }
-
-    fn remove(&mut self, job: JobId, record: &JobRecord) {
-        match &record.phase {
-            JobPhase::Queued => {
-                self.queued.remove(&job);
-                self.remove_waiting(&record.order.team);
-            }
-            JobPhase::Placed { workers, .. } => {
-                self.placed.remove(&job);
-                self.remove_tasks(job, record, workers);
-            }
-            JobPhase::Ended { .. } => {}
-        }
-    }
-
-    fn remove_waiting(&mut self, team: &TeamName) {
-        let Some(count) = self.waiting_by_team.get_mut(team) else {
-            return;
-        };
-        *count -= 1;
-        if *count == 0 {
-            self.waiting_by_team.remove(team);
-        }
-    }
-
-    fn remove_tasks(&mut self, job: JobId, record: &JobRecord, workers: &[WorkerName]) {
-        for (member, worker) in (0..).zip(workers) {
-            let task = TaskId {
-                job,
-                attempt: record.attempt,
-                member,
-            };
-            let Some(tasks) = self.tasks.get_mut(worker) else {
-                continue;
-            };
-            tasks.remove(&task);
-            if tasks.is_empty() {
-                self.tasks.remove(worker);
-                self.used.remove(worker);
-            } else if let Some(used) = self.used.get_mut(worker) {
-                used.take(&record.order.spec.demand);
-            }
-        }
-    }
+    pub(crate) index: JobIndex,
 }
 
 impl LedgerState {
@@ -504,207 +404,6 @@
         effect
     }
 
-    fn accept(&mut self, offset: LogOffset, at: ClockTime, order: &JobOrder) -> RecordEffect {
-        if self.key(&order.team, &order.key).is_some() {
-            return RecordEffect::Void(VoidReason::KeyTaken);
-        }
-        let job = JobId(offset.0);
-        let record = JobRecord {
-            order: order.clone(),
-            accepted_at: at,
-            attempt: 0,
-            checkpoint: TimeSpan::default(),
-            failed_on: Vec::new(),
-            cancelled: false,
-            phase: JobPhase::Queued,
-        };
-        let state = KeyState::Job { job };
-        self.insert_key(
-            &order.team,
-            &order.key,
-            KeyEntry::new(&order.service, 0, at, state),
-        );
-        self.index.insert(job, &record);
-        self.jobs.insert(job, record);
-        RecordEffect::Applied
-    }
-
-    fn insert_key(&mut self, team: &TeamName, key: &RequestKey, entry: KeyEntry) {
-        self.aging_keys
-            .push_back((entry.at, team.clone(), key.clone()));
-        self.keys
-            .entry(team.clone())
-            .or_default()
-            .insert(key.clone(), entry);
-    }
-
-    fn set_phase(&mut self, job: JobId, phase: JobPhase) {
-        let Some(record) = self.jobs.get_mut(&job) else {
-            return;
-        };
-        self.index.remove(job, record);
-        if let JobPhase::Ended { at, .. } = &phase {
-            self.ended_jobs.push_back((*at, job));
-            record.order.payload = String::new();
-        }
-        record.phase = phase;
-        self.index.insert(job, record);
-    }
-
-    fn cancel(&mut self, job: JobId, at: ClockTime) -> RecordEffect {
-        let Some(record) = self.jobs.get_mut(&job) else {
-            return RecordEffect::Void(VoidReason::WrongPhase);
-        };
-        match record.phase {
-            JobPhase::Queued => {
-                self.set_phase(
-                    job,
-                    JobPhase::Ended {
-                        end: JobEnd::Cancelled,
-                        at,
-                    },
-                );
-                RecordEffect::Applied
-            }
-            JobPhase::Placed { .. } => {
-                record.cancelled = true;
-                RecordEffect::Applied
-            }
-            JobPhase::Ended { .. } => RecordEffect::Void(VoidReason::WrongPhase),
-        }
-    }
-
-    fn place(
-        &mut self,
-        job: JobId,
-        attempt: u32,
-        workers: &[WorkerName],
-        at: ClockTime,
-    ) -> RecordEffect {
-        let Some(record) = self.jobs.get_mut(&job) else {
-            return RecordEffect::Void(VoidReason::WrongPhase);
-        };
-        if record.phase != JobPhase::Queued || attempt <= record.attempt {
-            return RecordEffect::Void(VoidReason::WrongPhase);
-        }
-        self.index.remove(job, record);
-        record.attempt = attempt;
-        record.phase = JobPhase::Placed {
-            workers: workers.to_vec(),
-            at,
-        };
-        self.index.insert(job, record);
-        RecordEffect::Applied
-    }
-
-    fn end_attempt(
-        &mut self,
-        job: JobId,
-        attempt: u32,
-        end: &AttemptEnd,
-        checkpoint: TimeSpan,
-        at: ClockTime,
-    ) -> RecordEffect {
-        let Some(record) = self.jobs.get_mut(&job) else {
-            return RecordEffect::Void(VoidReason::WrongPhase);
-        };
-        if !matches!(record.phase, JobPhase::Placed { .. }) || record.attempt != attempt {
-            return RecordEffect::Void(VoidReason::WrongPhase);
-        }
-        record.checkpoint = record.checkpoint.max(checkpoint);
-        if let AttemptEnd::Failed { worker, .. } = end {
-            record.failed_on.push(worker.clone());
-        }
-        let phase = match record.end_after(end) {
-            Some(end) => JobPhase::Ended { end, at },
-            None => JobPhase::Queued,
-        };
-        self.set_phase(job, phase);
-        RecordEffect::Applied
-    }
-
-    fn refuse(&mut self, job: JobId, reason: &str, at: ClockTime) -> RecordEffect {
-        let queued = self
-            .jobs
-            .get(&job)
-            .is_some_and(|record| record.phase == JobPhase::Queued);
-        if !queued {
-            return RecordEffect::Void(VoidReason::WrongPhase);
-        }
-        let end = JobEnd::Refused {
-            reason: reason.to_owned(),
-        };
-        self.set_phase(job, JobPhase::Ended { end, at });
-        RecordEffect::Applied
-    }
-
-    fn intend(
-        &mut self,
-        team: &TeamName,
-        key: &RequestKey,
-        service: &ServiceName,
-        digest: u64,
-        record: &LogRecord,
-    ) -> RecordEffect {
-        let state = KeyState::Intent {
-            writer: record.writer.clone(),
-        };
-        match self.keys.get_mut(team).and_then(|keys| keys.get_mut(key)) {
-            None => {
-                let entry = KeyEntry::new(service, digest, record.at, state);
-                self.insert_key(team, key, entry);
-                RecordEffect::Applied
-            }
-            Some(entry) if entry.is_free_again() && entry.digest == digest => {
-                entry.state = state;
-                RecordEffect::Applied
-            }
-            Some(_) => RecordEffect::Void(VoidReason::KeyTaken),
-        }
-    }
-
-    fn finish_request(
-        &mut self,
-        team: &TeamName,
-        key: &RequestKey,
-        end: &RequestEnd,
-        writer: &WriterId,
-    ) -> RecordEffect {
-        let entry = self.keys.get_mut(team).and_then(|keys| keys.get_mut(key));
-        let Some(entry) = entry else {
-            return RecordEffect::Void(VoidReason::WrongPhase);
-        };
-        if entry.state
-            != (KeyState::Intent {
-                writer: writer.clone(),
-            })
-        {
-            return RecordEffect::Void(VoidReason::WrongPhase);
-        }
-        entry.state = KeyState::Done { end: end.clone() };
-        if let RequestEnd::Answered {
-            body: Some(body), ..
-        } = end
-        {
-            self.kept_bytes += body.len();
-            self.kept_bodies.push_back((team.clone(), key.clone()));
-        }
-        self.drop_old_bodies();
-        RecordEffect::Applied
-    }
-
-    fn drop_old_bodies(&mut self) {
-        while self.kept_bytes > KEPT_ANSWER_BYTES {
-            let Some((team, key)) = self.kept_bodies.pop_front() else {
-                return;
-            };
-            let entry = self.keys.get_mut(&team).and_then(|keys| keys.get_mut(&key));
-            if let Some(entry) = entry {
-                self.kept_bytes -= entry.take_body();
-            }
-        }
-    }
-
     fn change_config(
         &mut self,
         base: ConfigVersion,
@@ -750,62 +449,8 @@
         };
         RecordEffect::Applied
     }
-
-    fn forget_old(&mut self) {
-        let limit = self.clock - RETENTION;
-        while self.ended_jobs.front().is_some_and(|(at, _)| *at < limit) {
-            if let Some((_, job)) = self.ended_jobs.pop_front() {
-                self.jobs.swap_remove(&job);
-            }
-        }
-        while self
-            .aging_keys
-            .front()
-            .is_some_and(|(at, _, _)| *at < limit)
-        {
-            self.forget_oldest_key();
-        }
-        if self.writers.len() > WRITERS_KEPT {
-            self.writers.retain(|_, mark| mark.at >= limit);
-        }
-    }
-
-    fn forget_oldest_key(&mut self) {
-        let Some((at, team, key)) = self.aging_keys.pop_front() else {
-            return;
-        };
-        if self.is_key_in_use(&team, &key) {
-            self.aging_keys.push_back((self.clock, team, key));
-            return;
-        }
-        let Some(keys) = self.keys.get_mut(&team) else {
-            return;
-        };
-        if keys.get(&key).is_some_and(|entry| entry.at <= at)
-            && let Some(mut entry) = keys.swap_remove(&key)
-        {
-            self.kept_bytes = self.kept_bytes.saturating_sub(entry.take_body());
-        }
-        if keys.is_empty() {
-            self.keys.swap_remove(&team);
-        }
-    }
-
-    /// A job keeps its key as long as it has not ended.
-    fn is_key_in_use(&self, team: &TeamName, key: &RequestKey) -> bool {
-        match self.key(team, key).map(|entry| &entry.state) {
-            Some(KeyState::Job { job }) => self
-                .jobs
-                .get(job)
-                .is_some_and(|record| !matches!(record.phase, JobPhase::Ended { .. })),
-            _ => false,
-        }
-    }
 }
 
-/// Writers beyond which silent ones are forgotten: at 110 restarts a day, a few days' worth.
-const WRITERS_KEPT: usize = 512;
-
 const NOTHING: ResourceDemand = ResourceDemand {
     slots: 0,
     accelerators: 0,
@@ -822,79 +467,6 @@
     }
 }
 
-impl KeyEntry {
-    fn new(service: &ServiceName, digest: u64, at: ClockTime, state: KeyState) -> Self {
-        Self {
-            service: service.clone(),
-            digest,
-            at,
-            state,
-        }
-    }
-
-    /// Tells whether the key may be used once more because its request never ran.
-    fn is_free_again(&self) -> bool {
-        matches!(
-            self.state,
-            KeyState::Done {
-                end: RequestEnd::NotRun
-            }
-        )
-    }
-
-    fn take_body(&mut self) -> usize {
-        match &mut self.state {
-            KeyState::Done {
-                end: RequestEnd::Answered { body, .. },
-            } => body.take().map_or(0, |body| body.len()),
-            _ => 0,
-        }
-    }
-}
-
-impl JobRecord {
-    /// Returns how the job ends after an attempt, or `None` when it goes back in the queue.
-    fn end_after(&self, end: &AttemptEnd) -> Option<JobEnd> {
-        let repeatable = self.order.spec.repeatable;
-        match end {
-            AttemptEnd::Finished { result } => Some(JobEnd::Finished {
-                result: result.clone(),
-            }),
-            AttemptEnd::Cancelled => Some(JobEnd::Cancelled),
-            AttemptEnd::Unknown => Some(JobEnd::Unknown),
-            AttemptEnd::NotStarted if self.cancelled => Some(JobEnd::Cancelled),
-            AttemptEnd::NotStarted => None,
-            AttemptEnd::Failed { reason, .. } => {
-                let over = !repeatable || self.failed_on.len() >= JOB_FAILURE_LIMIT;
-                if over {
-                    Some(JobEnd::Failed {
-                        reason: reason.clone(),
-                    })
-                } else {
-                    self.cancelled.then_some(JobEnd::Cancelled)
-                }
-            }
-            AttemptEnd::Lost { .. } | AttemptEnd::Preempted => {
-                if self.cancelled {
-                    Some(JobEnd::Cancelled)
-                } else {
-                    (!repeatable).then_some(JobEnd::Unknown)
-                }
-            }
-        }
-    }
-
-    /// Returns the daemon-independent name of the phase.
-    #[must_use]
-    pub fn phase_name(&self) -> &'static str {
-        match self.phase {
-            JobPhase::Queued => "queued",
-            JobPhase::Placed { .. } => "placed",
-            JobPhase::Ended { .. } => "ended",
-        }
-    }
-}
-
 /// Returns the daemon that holds the term.
 #[must_use]
 pub fn holder(ledger: &LedgerState) -> Option<&DaemonName> {
--- a/core/src/plan.rs
+++ b/core/src/plan.rs
@@ -11,12 +11,10 @@
 use crate::context::StepContext;
 use crate::domain;
 use crate::effect::LogPart;
+use crate::ending;
 use crate::event::CallOutcome;
 use crate::fleet;
 use crate::gang;
-use crate::gang::GangRun;
-use crate::gang::GangStage;
-use crate::gang::MemberState;
 use crate::ids::JobId;
 use crate::ids::TaskId;
 use crate::ids::TermNumber;
@@ -35,6 +33,10 @@
 use crate::policy::WorkerSlot;
 use crate::record::AttemptEnd;
 use crate::record::RecordBody;
+use crate::recovery;
+use crate::run::GangRun;
+use crate::run::GangStage;
+use crate::run::MemberState;
 use crate::state::DaemonState;
 use crate::term;
 use crate::units::ClockTime;
@@ -199,7 +201,7 @@
     {
         fence.confirmed = Some(term);
         state.planner.dirty = true;
-        gang::recovered_worker(state, worker, tasks, context);
+        recovery::recovered_worker(state, worker, tasks, context);
     }
 }
 
@@ -275,7 +277,7 @@
             .map(|task| task.job)
             .collect();
         for job in jobs {
-            gang::begin_stop(
+            ending::begin_stop(
                 state,
                 job,
                 AttemptEnd::Lost {
@@ -462,7 +464,7 @@
         .get(&job)
         .is_some_and(|record| record.order.spec.repeatable);
     if repeatable {
-        gang::begin_stop(state, job, AttemptEnd::Preempted, context);
+        ending::begin_stop(state, job, AttemptEnd::Preempted, context);
     }
 }
 
--- /dev/null
+++ b/core/src/publication.rs
@@ -0,0 +1,117 @@
+//! Publication of team files: checks of a change against the configuration in force.
+
+use crate::caller;
+use crate::collection;
+use crate::collection::CheckBounds;
+use crate::config::TeamFile;
+use crate::context::StepContext;
+use crate::document::FileProblem;
+use crate::event::CallerCredential;
+use crate::fleet;
+use crate::guarantee;
+use crate::ids::CallerId;
+use crate::ids::ConfigVersion;
+use crate::ids::TeamName;
+use crate::kind::ErrorKind;
+use crate::kind::FailureReport;
+use crate::outbox::RecordPurpose;
+use crate::record::RecordBody;
+use crate::state::DaemonState;
+use crate::units::ClockTime;
+
+/// Problems of a published change that its answer names, to keep the answer short.
+pub(crate) const PROBLEMS_SHOWN: usize = 10;
+
+/// A change of team files as an operator asks for it.
+pub(crate) struct ConfigChange<'a> {
+    pub(crate) base: ConfigVersion,
+    pub(crate) upsert: &'a [TeamFile],
+    pub(crate) remove: &'a [TeamName],
+    pub(crate) operator: &'a str,
+}
+
+pub(crate) fn publish(
+    state: &mut DaemonState,
+    caller: CallerId,
+    credential: &CallerCredential,
+    change: &ConfigChange<'_>,
+    context: &mut StepContext<'_>,
+) {
+    if let Err(report) = check_change(state, credential, change, context.at) {
+        context.fail(caller, report.kind, report.detail);
+        return;
+    }
+    state.callers.expect_record(caller);
+    let body = RecordBody::ConfigChanged {
+        base: change.base,
+        upsert: change.upsert.to_vec(),
+        remove: change.remove.to_vec(),
+        operator: change.operator.to_owned(),
+    };
+    state
+        .outbox
+        .push(context.at, body, RecordPurpose::Publish { caller });
+}
+
+pub(crate) fn check_change(
+    state: &DaemonState,
+    credential: &CallerCredential,
+    change: &ConfigChange<'_>,
+    at: ClockTime,
+) -> Result<(), FailureReport> {
+    caller::require_operator(state, credential)?;
+    caller::check_ready(state)?;
+    if !state.reader.is_fresh(at, state.settings.timing.freshness) {
+        return Err(FailureReport::new(
+            ErrorKind::LogUnavailable,
+            "the log has not answered",
+        ));
+    }
+    let in_force = &state.ledger.config;
+    if change.base != in_force.version {
+        let detail = format!(
+            "{} published version {} first; the change was made against version {}",
+            in_force.operator, in_force.version, change.base
+        );
+        return Err(FailureReport::new(ErrorKind::LostRace, detail));
+    }
+    if !state.outbox.has_room(&state.settings.limits) {
+        return Err(FailureReport::new(
+            ErrorKind::Overloaded,
+            "too many records wait",
+        ));
+    }
+    let mut teams = in_force.teams.clone();
+    for team in change.remove {
+        teams.shift_remove(team);
+    }
+    for file in change.upsert {
+        teams.shift_remove(&file.team);
+    }
+    let workers: Vec<_> = state
+        .members
+        .workers
+        .values()
+        .map(|entry| &entry.info)
+        .collect();
+    let limits = &state.settings.limits;
+    let slots = fleet::idle_slots(&workers, limits.request_slots);
+    let offered = slots.values().map(|slot| &slot.offered);
+    let bounds = CheckBounds::of_workers(offered, limits.gang_members);
+    collection::check_change(&teams, change.upsert, &bounds)
+        .map_err(|problems| FailureReport::new(ErrorKind::BadConfig, describe(&problems)))?;
+    for file in change.upsert {
+        teams.insert(file.team.clone(), file.clone());
+    }
+    guarantee::check_config(&teams, &slots)
+        .map_err(|reason| FailureReport::new(ErrorKind::BadConfig, reason))
+}
+
+/// Returns the first problems of a change as one line.
+pub(crate) fn describe(problems: &[FileProblem]) -> String {
+    let lines = problems.iter().take(PROBLEMS_SHOWN);
+    let lines: Vec<_> = lines
+        .map(|problem| format!("{}: {}: {}", problem.file, problem.field, problem.message))
+        .collect();
+    lines.join("; ")
+}
--- /dev/null
+++ b/core/src/recovery.rs
@@ -0,0 +1,93 @@
+//! Attempts whose members a planner has to find again: after a takeover, or on lost workers.
+
+use std::collections::BTreeSet;
+
+use crate::context::StepContext;
+use crate::ending;
+use crate::gang;
+use crate::ids::JobId;
+use crate::ids::TaskId;
+use crate::ids::WorkerName;
+use crate::plan;
+use crate::record::AttemptEnd;
+use crate::run;
+use crate::run::GangStage;
+use crate::run::MemberState;
+use crate::state::DaemonState;
+use crate::worker::TaskStatus;
+
+/// Takes the complete list of tasks that a fenced worker has, for attempts found in the ledger.
+pub fn recovered_worker(
+    state: &mut DaemonState,
+    worker: &WorkerName,
+    tasks: &[TaskStatus],
+    context: &mut StepContext<'_>,
+) {
+    let expected: Vec<TaskId> = state.ledger.tasks_on(worker).collect();
+    let mut jobs = BTreeSet::new();
+    for task in expected {
+        let Some(run) = state.planner.run_mut(&task) else {
+            continue;
+        };
+        let index = task.member as usize;
+        if run.stage != GangStage::Recovering || run.members[index] != MemberState::Uncertain {
+            continue;
+        }
+        match tasks.iter().find(|status| status.task == task) {
+            Some(status) => run::take_status(run, index, status),
+            None => run.members[index] = MemberState::Settled { started: true },
+        }
+        jobs.insert(task.job);
+    }
+    for job in jobs {
+        recover(state, job, context);
+    }
+}
+
+/// Ends the recovery once every member is known, or as soon as one is known to be lost.
+pub(crate) fn recover(state: &mut DaemonState, job: JobId, context: &mut StepContext<'_>) {
+    let Some(run) = state.planner.runs.get_mut(&job) else {
+        return;
+    };
+    let lost = run
+        .members
+        .iter()
+        .position(|member| member.is_over() && !member.is_finished());
+    if let Some(index) = lost {
+        let worker = run.workers[index].clone();
+        ending::begin_stop(state, job, AttemptEnd::Lost { worker }, context);
+    } else if !run.members.contains(&MemberState::Uncertain) {
+        gang::advance_start(state, job, context);
+    }
+}
+
+/// Settles members on workers whose lease is certain to have lapsed.
+pub(crate) fn settle_lost(state: &mut DaemonState, job: JobId, context: &mut StepContext<'_>) {
+    let Some(run) = state.planner.runs.get(&job) else {
+        return;
+    };
+    let open: Vec<WorkerName> = match run.stage {
+        GangStage::Stopping { .. } => run.stop_open.iter().cloned().collect(),
+        GangStage::Recovering => run.workers.clone(),
+        _ => return,
+    };
+    let lost: Vec<WorkerName> = open
+        .into_iter()
+        .filter(|worker| plan::is_lost(state, worker, context.at))
+        .collect();
+    let Some(run) = state.planner.runs.get_mut(&job) else {
+        return;
+    };
+    for worker in &lost {
+        let indexes: Vec<usize> = run.members_on(worker).collect();
+        for index in indexes {
+            if !run.members[index].is_over() {
+                let started = run.members[index].may_have_run();
+                run.members[index] = MemberState::Settled { started };
+            }
+        }
+    }
+    if !lost.is_empty() {
+        gang::advance(state, job, context);
+    }
+}
--- /dev/null
+++ b/core/src/run.rs
@@ -0,0 +1,245 @@
+//! One attempt of a job as the planner sees it: its members, its stage and how it ended.
+
+use std::collections::BTreeSet;
+
+use crate::ids::WorkerName;
+use crate::record::AttemptEnd;
+use crate::units::ClockTime;
+use crate::units::TimeSpan;
+use crate::worker::TaskOutcome;
+use crate::worker::TaskPhase;
+use crate::worker::TaskStatus;
+
+/// Where a member stands, as far as the planner knows.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum MemberState {
+    /// The reservation has been sent.
+    Reserving,
+    /// The worker holds the capacity.
+    Reserved,
+    /// The start has been sent.
+    Starting,
+    /// The worker runs it.
+    Running,
+    /// It may run; the worker has not said.
+    Uncertain,
+    /// It does not run and will not start.
+    Settled {
+        /// Whether it may have run before.
+        started: bool,
+    },
+    /// The worker has reported its end.
+    Ended {
+        /// How it ended.
+        end: TaskOutcome,
+    },
+}
+
+/// Where an attempt stands.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum GangStage {
+    /// A new planner asks the workers what became of an attempt that it found in the ledger.
+    Recovering,
+    /// Members are being reserved.
+    Reserving,
+    /// The placement is on its way into the log.
+    Recording,
+    /// Members are being started.
+    Starting,
+    /// All members run.
+    Running,
+    /// Members are being stopped.
+    Stopping {
+        /// Why; the end may still change when members turn out to have finished.
+        end: AttemptEnd,
+    },
+    /// The end is on its way into the log.
+    Closing,
+}
+
+/// One attempt of a job at the planner.
+#[derive(Clone, Debug)]
+pub struct GangRun {
+    /// The attempt.
+    pub attempt: u32,
+    /// The worker of each member.
+    pub workers: Vec<WorkerName>,
+    /// The state of each member.
+    pub members: Vec<MemberState>,
+    /// Where the attempt stands.
+    pub stage: GangStage,
+    /// Whether the placement is in the ledger.
+    pub recorded: bool,
+    /// When the stage began.
+    pub since: ClockTime,
+    /// Progress that each member has saved.
+    pub(crate) checkpoints: Vec<TimeSpan>,
+    /// Workers that have not confirmed the stop.
+    pub(crate) stop_open: BTreeSet<WorkerName>,
+    pub(crate) retry_at: ClockTime,
+}
+
+impl GangRun {
+    /// Creates an attempt of which every member is in the same state.
+    #[must_use]
+    pub fn new(
+        attempt: u32,
+        workers: Vec<WorkerName>,
+        member: MemberState,
+        stage: GangStage,
+        at: ClockTime,
+    ) -> Self {
+        let count = workers.len();
+        Self {
+            attempt,
+            workers,
+            members: vec![member; count],
+            recorded: stage == GangStage::Recovering,
+            stage,
+            since: at,
+            checkpoints: vec![TimeSpan::default(); count],
+            stop_open: BTreeSet::new(),
+            retry_at: at,
+        }
+    }
+
+    /// Returns workers that have not confirmed the stop.
+    #[must_use]
+    pub fn unconfirmed_stops(&self) -> &BTreeSet<WorkerName> {
+        &self.stop_open
+    }
+
+    pub(crate) fn enter(&mut self, stage: GangStage, at: ClockTime) {
+        self.stage = stage;
+        self.since = at;
+    }
+
+    pub(crate) fn all(&self, test: impl Fn(&MemberState) -> bool) -> bool {
+        self.members.iter().all(test)
+    }
+
+    pub(crate) fn members_on<'a>(
+        &'a self,
+        worker: &'a WorkerName,
+    ) -> impl Iterator<Item = usize> + 'a {
+        (0..)
+            .zip(&self.workers)
+            .filter(move |(_, name)| *name == worker)
+            .map(|(index, _)| index)
+    }
+
+    pub(crate) fn is_settled_on(&self, worker: &WorkerName) -> bool {
+        self.members_on(worker)
+            .all(|index| self.members[index].is_over())
+    }
+
+    pub(crate) fn may_have_run(&self) -> bool {
+        self.members.iter().any(MemberState::may_have_run)
+    }
+}
+
+impl MemberState {
+    pub(crate) fn is_over(&self) -> bool {
+        matches!(self, Self::Settled { .. } | Self::Ended { .. })
+    }
+
+    pub(crate) fn may_have_run(&self) -> bool {
+        !matches!(
+            self,
+            Self::Reserving | Self::Reserved | Self::Settled { started: false }
+        )
+    }
+
+    pub(crate) fn is_finished(&self) -> bool {
+        matches!(
+            self,
+            Self::Ended {
+                end: TaskOutcome::Finished { .. }
+            }
+        )
+    }
+}
+
+pub(crate) fn take_status(run: &mut GangRun, index: usize, status: &TaskStatus) {
+    run.checkpoints[index] = run.checkpoints[index].max(status.checkpoint);
+    run.members[index] = match &status.phase {
+        TaskPhase::Ended { end } => MemberState::Ended { end: end.clone() },
+        TaskPhase::Running => MemberState::Running,
+        TaskPhase::Reserved => MemberState::Settled { started: false },
+    };
+}
+
+/// Takes what a worker says about its members of an attempt that it has stopped.
+pub(crate) fn settle_worker(run: &mut GangRun, worker: &WorkerName, tasks: &[TaskStatus]) {
+    let indexes: Vec<usize> = run.members_on(worker).collect();
+    for index in indexes {
+        let attempt = run.attempt;
+        let status = tasks
+            .iter()
+            .find(|status| status.task.attempt == attempt && status.task.member as usize == index);
+        if run.members[index].is_over() {
+            continue;
+        }
+        match status {
+            Some(status) => take_status(run, index, status),
+            None => {
+                // The worker knows no start. A member that was seen running was lost with the
+                // worker's memory.
+                let started = run.members[index] == MemberState::Running;
+                run.members[index] = MemberState::Settled { started };
+            }
+        }
+    }
+    run.stop_open.remove(worker);
+}
+
+pub(crate) fn attempt_end(run: &GangRun, repeatable: bool, cancelled: bool) -> AttemptEnd {
+    if run.all(MemberState::is_finished) {
+        return AttemptEnd::Finished {
+            result: first_result(run),
+        };
+    }
+    if let Some(end) = first_failure(run) {
+        return end;
+    }
+    if !run.may_have_run() {
+        return AttemptEnd::NotStarted;
+    }
+    if cancelled {
+        return AttemptEnd::Cancelled;
+    }
+    if !repeatable {
+        return AttemptEnd::Unknown;
+    }
+    match &run.stage {
+        GangStage::Stopping {
+            end: AttemptEnd::NotStarted,
+        } => AttemptEnd::Preempted,
+        GangStage::Stopping { end } => end.clone(),
+        _ => AttemptEnd::Preempted,
+    }
+}
+
+pub(crate) fn first_result(run: &GangRun) -> String {
+    match run.members.first() {
+        Some(MemberState::Ended {
+            end: TaskOutcome::Finished { result },
+        }) => result.clone(),
+        _ => String::new(),
+    }
+}
+
+pub(crate) fn first_failure(run: &GangRun) -> Option<AttemptEnd> {
+    run.members
+        .iter()
+        .zip(&run.workers)
+        .find_map(|(member, worker)| match member {
+            MemberState::Ended {
+                end: TaskOutcome::Failed { reason },
+            } => Some(AttemptEnd::Failed {
+                worker: worker.clone(),
+                reason: reason.clone(),
+            }),
+            _ => None,
+        })
+}
