Open connections to the HTTP server one at a time

Cause: a local run lost four requests for 10 s. The HTTP library queues a new connection for an idle thread; a second one that arrives before that thread wakes stays queued until some other connection closes.

Ruled out: a busy reducer (other callers were answered), timeouts of the client (raising them only delays the failure), and a spare set of idle connections (it makes the race rarer, not impossible).

Change: the gate opens a connection and waits for the answer to one small request before it opens the next. Stand-ins stand behind gates as well. The local run tells the checker of a failure domain's return before the command, because starts may follow it before its answer; it counted three late starts wrongly.

Conclusion: no connection waits for another one.

--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -14,6 +14,7 @@
 use crate::dispatch::EffectPorts;
 use crate::exchange::ExchangeTable;
 use crate::gate;
+use crate::gate::DepartureNews;
 use crate::gate::GateContext;
 use crate::gate::GatePhase;
 use crate::gate::GateSwitch;
@@ -101,8 +102,10 @@
             server: server.address,
             connections: limit,
             request_bytes: 4 * body_limit(&settings) + HEAD_BYTES,
-            exchanges: Arc::clone(&exchanges),
-            events: events.clone(),
+            departures: Some(DepartureNews {
+                exchanges: Arc::clone(&exchanges),
+                events: events.clone(),
+            }),
         })?;
         let state = DaemonState::new(DaemonSettings::clone(&settings), incarnation);
         let control = control::spawn(state, clock, received, ports)?;
--- a/src/gate.rs
+++ b/src/gate.rs
@@ -15,6 +15,7 @@
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
+use tokio::sync::Mutex;
 use tokio::sync::OwnedSemaphorePermit;
 use tokio::sync::Semaphore;
 use tokio::sync::watch;
@@ -44,6 +45,12 @@
 /// Time between two tries to accept after an error, such as a lack of file handles.
 const ACCEPT_RETRY: Duration = Duration::from_millis(200);
 
+/// Longest time until the HTTP server takes a connection.
+const ENTRY_TIME: Duration = Duration::from_secs(5);
+
+/// A request whose answer has no body.
+const PROBE: &[u8] = b"HEAD /health HTTP/1.1\r\nHost: gate\r\n\r\n";
+
 /// Where the process is in its life.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum GatePhase {
@@ -66,12 +73,27 @@
     /// Bytes of one request with its headers at which its connection is cut. It is above the limit
     /// at which the HTTP server answers, so that most callers see that answer.
     pub request_bytes: usize,
+    /// Who is told of callers that have left.
+    pub departures: Option<DepartureNews>,
+}
+
+/// Who is told of callers that have left.
+pub struct DepartureNews {
     /// Open exchanges, closed when their connection is.
     pub exchanges: Arc<ExchangeTable>,
-    /// Takes the news of callers that have left.
+    /// Takes the news.
     pub events: EventSender,
 }
 
+impl DepartureNews {
+    fn tell(&self, connection: u16) {
+        for caller in self.exchanges.close_connection(connection) {
+            // Without room the exchange ends by its deadline.
+            let _ = self.events.try_send(EventInput::CallerGone { caller });
+        }
+    }
+}
+
 /// The running gate.
 pub struct GateThread {
     phase: GateSwitch,
@@ -130,6 +152,7 @@
     let listener = tokio::net::TcpListener::from_std(context.listener.try_clone()?)?;
     let slots = Arc::new(Semaphore::new(context.connections));
     let context = Arc::new(context);
+    let entry = Arc::new(Mutex::new(()));
     let mut relays = JoinSet::new();
     loop {
         let accepted = tokio::select! {
@@ -140,8 +163,9 @@
         match accepted {
             Ok((stream, slot)) => {
                 let (context, phases) = (Arc::clone(&context), phases.clone());
+                let entry = Arc::clone(&entry);
                 relays.spawn(async move {
-                    relay(&context, stream, phases).await;
+                    relay(&context, &entry, stream, phases).await;
                     drop(slot);
                 });
             }
@@ -183,21 +207,49 @@
     moved: Instant,
 }
 
-async fn relay(context: &GateContext, mut caller: TcpStream, phases: watch::Receiver<GatePhase>) {
-    let Ok(mut server) = TcpStream::connect(context.server).await else {
+/// Opens a connection to the HTTP server and waits until the server has a thread for it.
+///
+/// The library queues a connection for an idle thread. When two arrive before that thread wakes,
+/// the second one stays in the queue until some other connection closes, which may take minutes.
+/// So the next connection is opened only after the last one is answered.
+async fn connect(context: &GateContext, entry: &Mutex<()>) -> io::Result<TcpStream> {
+    let _turn = entry.lock().await;
+    let mut server = TcpStream::connect(context.server).await?;
+    // Answers are whole messages, so waiting to fill a segment would only delay them.
+    server.set_nodelay(true)?;
+    time::timeout(ENTRY_TIME, probe(&mut server)).await??;
+    Ok(server)
+}
+
+async fn probe(server: &mut TcpStream) -> io::Result<()> {
+    server.write_all(PROBE).await?;
+    let mut answer = Vec::new();
+    while !answer.ends_with(b"\r\n\r\n") {
+        if server.read_buf(&mut answer).await? == 0 {
+            return Err(io::ErrorKind::UnexpectedEof.into());
+        }
+    }
+    Ok(())
+}
+
+async fn relay(
+    context: &GateContext,
+    entry: &Mutex<()>,
+    mut caller: TcpStream,
+    phases: watch::Receiver<GatePhase>,
+) {
+    let Ok(mut server) = connect(context, entry).await else {
         return;
     };
     let Ok(address) = server.local_addr() else {
         return;
     };
-    // Answers are whole messages, so waiting to fill a segment would only delay them.
+    // Without this option answers only take longer.
     let _ = caller.set_nodelay(true);
-    let _ = server.set_nodelay(true);
     // Each way out of the loop closes both connections; the cause makes no difference.
     let _ = pass_bytes(context, &mut caller, &mut server, phases).await;
-    for caller in context.exchanges.close_connection(address.port()) {
-        // Without room the exchange ends by its deadline.
-        let _ = context.events.try_send(EventInput::CallerGone { caller });
+    if let Some(news) = &context.departures {
+        news.tell(address.port());
     }
 }
 
--- a/src/local_run.rs
+++ b/src/local_run.rs
@@ -306,16 +306,25 @@
 
     fn set_domain(&mut self, out: bool) {
         let state = if out { "out" } else { "back" };
+        // Starts may follow the command to bring the domain back before its answer is here. They
+        // must not follow the answer to a take-out by more than the bound.
+        if !out {
+            self.note_domain(false);
+        }
         match self.client.set_domain(&self.domain, out) {
-            Ok(_) => {
-                let domain = self.domain.as_str().into();
-                let note = OutcomeNote::Domain { domain, out };
-                // The stand-ins run until the process ends.
-                let _ = self.platform.send(PlatformCall::Note(note));
-                self.tell(format!("{} is {state}", self.domain));
-            }
+            Ok(_) => self.tell(format!("{} is {state}", self.domain)),
             Err(error) => self.tell(format!("{} is not {state}: {error}", self.domain)),
         }
+        if out {
+            self.note_domain(true);
+        }
+    }
+
+    fn note_domain(&self, out: bool) {
+        let domain = self.domain.as_str().into();
+        let note = OutcomeNote::Domain { domain, out };
+        // The stand-ins run until the process ends.
+        let _ = self.platform.send(PlatformCall::Note(note));
     }
 
     fn tell(&self, line: String) {
--- a/src/standin_http.rs
+++ b/src/standin_http.rs
@@ -3,6 +3,7 @@
 use std::io;
 use std::io::Read;
 use std::net::SocketAddr;
+use std::net::TcpListener;
 use std::thread;
 use std::time::Duration;
 
@@ -11,9 +12,15 @@
 use rouille::Server;
 use serde::Serialize;
 
+use crate::gate;
+use crate::gate::GateContext;
+
 /// Largest request that a stand-in takes, in bytes.
 const REQUEST_BYTES: u64 = 16 << 20;
 
+/// Connections that a stand-in takes at once: as many as a worker of the deployments.
+const CONNECTIONS: usize = 64;
+
 /// Time for which a request to a silent VM is held. It is above the timeouts of the daemons.
 const SILENCE: Duration = Duration::from_secs(6);
 
@@ -26,11 +33,20 @@
 where
     F: Fn(&Request) -> Response + Send + Sync + 'static,
 {
-    let server = Server::new(address, handler).map_err(io::Error::other)?;
-    let address = server.server_addr();
-    thread::Builder::new()
-        .name(name.into())
-        .spawn(move || server.run())?;
+    let listener = TcpListener::bind(address)?;
+    let address = listener.local_addr()?;
+    let server = Server::new("127.0.0.1:0", handler).map_err(io::Error::other)?;
+    let gate = gate::spawn(GateContext {
+        listener,
+        server: server.server_addr(),
+        connections: CONNECTIONS,
+        request_bytes: usize::MAX,
+        departures: None,
+    })?;
+    thread::Builder::new().name(name.into()).spawn(move || {
+        server.run();
+        drop(gate);
+    })?;
     Ok(address)
 }
 
