Test the gate and the answers of endpoints

Cause: the fault of queued connections had no test, and nothing showed that foreign, truncated or refused answers are told apart.

Change: tests over real sockets, and the longest time of sending is part of the gate's context, so that a test can shorten it.

Ruled out: a test of the queue by hand-made timing; 100 connections at once show the fault without it.

Conclusion: both are guarded.

--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -102,6 +102,7 @@
             server: server.address,
             connections: limit,
             request_bytes: 4 * body_limit(&settings) + HEAD_BYTES,
+            send_time: gate::SEND_TIME,
             departures: Some(DepartureNews {
                 exchanges: Arc::clone(&exchanges),
                 events: events.clone(),
--- a/src/gate.rs
+++ b/src/gate.rs
@@ -27,8 +27,8 @@
 use crate::exchange::ExchangeTable;
 use mustardpath_core::event::EventInput;
 
-/// Longest time from a request's first to its last byte.
-const SEND_TIME: Duration = Duration::from_secs(10);
+/// Longest time from a request's first to its last byte, for callers of a daemon.
+pub const SEND_TIME: Duration = Duration::from_secs(10);
 
 /// Longest time for a caller to take a part of an answer.
 const TAKE_TIME: Duration = Duration::from_secs(10);
@@ -73,6 +73,8 @@
     /// Bytes of one request with its headers at which its connection is cut. It is above the limit
     /// at which the HTTP server answers, so that most callers see that answer.
     pub request_bytes: usize,
+    /// Longest time from a request's first to its last byte.
+    pub send_time: Duration,
     /// Who is told of callers that have left.
     pub departures: Option<DepartureNews>,
 }
@@ -271,7 +273,7 @@
         tokio::select! {
             read = caller.read(&mut request) => {
                 let count = read?;
-                if count == 0 || !state.note_request(count, context.request_bytes) {
+                if count == 0 || !state.note_request(count, context) {
                     return Ok(());
                 }
                 server.write_all(&request[..count]).await?;
@@ -293,12 +295,12 @@
 
 impl RelayState {
     /// Notes bytes from the caller. Returns whether they are within the limits.
-    fn note_request(&mut self, count: usize, limit: usize) -> bool {
+    fn note_request(&mut self, count: usize, context: &GateContext) -> bool {
         let now = Instant::now();
         self.moved = now;
         self.sent += count;
         let began = *self.sending.get_or_insert(now);
-        self.sent <= limit && now.duration_since(began) <= SEND_TIME
+        self.sent <= context.request_bytes && now.duration_since(began) <= context.send_time
     }
 
     /// Notes bytes of an answer. Returns whether they are the first ones after a request.
--- a/src/standin_http.rs
+++ b/src/standin_http.rs
@@ -41,6 +41,7 @@
         server: server.server_addr(),
         connections: CONNECTIONS,
         request_bytes: usize::MAX,
+        send_time: gate::SEND_TIME,
         departures: None,
     })?;
     thread::Builder::new().name(name.into()).spawn(move || {
--- /dev/null
+++ b/tests/endpoint_answers.rs
@@ -0,0 +1,187 @@
+//! What the daemon makes of the answers of endpoints, good and bad.
+
+use std::io::Read;
+use std::net::TcpListener;
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use rouille::Request;
+use rouille::Response;
+use rouille::Server;
+
+use mustardpath::control;
+use mustardpath::digest;
+use mustardpath::exchange::ExchangeTable;
+use mustardpath::exchange::RequestBody;
+use mustardpath::outbound;
+use mustardpath::outbound::EndpointJob;
+use mustardpath::outbound::OutboundContext;
+use mustardpath_core::config::KeyDigest;
+use mustardpath_core::effect::CallerAnswer;
+use mustardpath_core::event::EndpointOutcome;
+use mustardpath_core::event::EventInput;
+use mustardpath_core::ids::RequestId;
+use mustardpath_core::ids::ServiceName;
+use mustardpath_core::ids::WriterId;
+use mustardpath_core::settings::DaemonSettings;
+use mustardpath_core::units::TimeSpan;
+
+const BODY: &[u8] = b"the answer";
+
+fn settings() -> DaemonSettings {
+    serde_json::from_value(serde_json::json!({
+        "daemon": "d1",
+        "region": "north",
+        "domain": "one",
+        "caller_address": "127.0.0.1:0",
+        "peer_address": "127.0.0.1:0",
+        "log_address": "127.0.0.1:1",
+        "vms_address": "127.0.0.1:1",
+        "operator_key_sha256": KeyDigest::of("key"),
+        "limits": { "call_threads": 2 },
+    }))
+    .expect("settings")
+}
+
+/// Sends one request to `address` and returns what the daemon makes of the answer, with the body
+/// that its caller would get.
+fn outcome_at(address: String) -> (EndpointOutcome, Option<Vec<u8>>) {
+    let exchanges = Arc::new(ExchangeTable::new(4));
+    let (events, mut received) = control::event_channel();
+    let jobs = outbound::spawn_requests(&OutboundContext {
+        events,
+        exchanges: Arc::clone(&exchanges),
+        writer: WriterId {
+            daemon: "d1".into(),
+            incarnation: 7,
+        },
+        settings: Arc::new(settings()),
+    })
+    .expect("threads");
+    let body = RequestBody {
+        key: None,
+        deadline: Instant::now() + Duration::from_secs(60),
+        digest: digest::body_digest(b"question"),
+        bytes: (*b"question").into(),
+    };
+    let open = exchanges.open(None, Some(body)).expect("room");
+    let request = RequestId(3);
+    jobs.send(EndpointJob::Send {
+        caller: open.caller,
+        request,
+        attempt: 2,
+        address,
+        service: ServiceName::from("check"),
+        timeout: TimeSpan::from_secs(30),
+    })
+    .expect("job");
+    let Some(EventInput::EndpointAnswer { outcome, .. }) = received.blocking_recv() else {
+        panic!("not the answer of an endpoint");
+    };
+    let attempt = 2;
+    exchanges.reply(open.caller, CallerAnswer::Endpoint { request, attempt });
+    let reply = open.replies.recv().expect("reply");
+    (outcome, reply.body.map(|body| body.bytes))
+}
+
+/// Answers a request as an endpoint does, with one header replaced.
+fn outcome_of(
+    header: &'static str,
+    value: &'static str,
+    body: &'static [u8],
+) -> (EndpointOutcome, Option<Vec<u8>>) {
+    let server = Server::new("127.0.0.1:0", move |request: &Request| {
+        let headers = [
+            (outbound::REQUEST_HEADER, "d1-7-3".to_string()),
+            (outbound::ATTEMPT_HEADER, "2".to_string()),
+            (outbound::LENGTH_HEADER, BODY.len().to_string()),
+            (
+                outbound::DIGEST_HEADER,
+                digest::format_digest(digest::body_digest(BODY)),
+            ),
+        ];
+        assert_eq!(request.header(outbound::REQUEST_HEADER), Some("d1-7-3"));
+        let mut response = Response::from_data("text/plain", body);
+        for (name, text) in headers {
+            let text = if name == header { value.into() } else { text };
+            response = response.with_additional_header(name, text);
+        }
+        if header == outbound::RUN_HEADER {
+            response = response.with_additional_header(header, value);
+        }
+        response
+    })
+    .expect("server");
+    let address = server.server_addr().to_string();
+    thread::spawn(move || server.run());
+    outcome_at(address)
+}
+
+/// Guards against a whole answer that does not reach its caller.
+#[test]
+fn a_whole_answer_is_held_for_its_caller() {
+    let (outcome, body) = outcome_of("", "", BODY);
+    assert_eq!(
+        outcome,
+        EndpointOutcome::Answered {
+            status: 200,
+            length: BODY.len() as u64,
+            kept: Some("the answer".into()),
+        }
+    );
+    assert_eq!(body.as_deref(), Some(BODY));
+}
+
+/// Guards against answers of other requests, of older attempts, and against truncated or changed
+/// ones: none is passed on, and the outcome is unknown.
+#[test]
+fn foreign_and_damaged_answers_are_not_passed_on() {
+    let cases = [
+        (outbound::REQUEST_HEADER, "d1-7-4", BODY),
+        (outbound::ATTEMPT_HEADER, "1", BODY),
+        (outbound::LENGTH_HEADER, "9", BODY),
+        (outbound::DIGEST_HEADER, "0", BODY),
+        ("", "", b"the answe".as_slice()),
+        ("", "", b"the ansWer".as_slice()),
+    ];
+    for (header, value, body) in cases {
+        let (outcome, body) = outcome_of(header, value, body);
+        assert_eq!(outcome, EndpointOutcome::Unknown, "{header} {value}");
+        assert_eq!(body, None, "{header} {value}");
+    }
+}
+
+/// Guards against a refusal that is taken for an answer.
+#[test]
+fn a_refusal_is_no_answer() {
+    let (outcome, body) = outcome_of(outbound::RUN_HEADER, outbound::NOT_RUN, BODY);
+    assert_eq!(outcome, EndpointOutcome::Refused);
+    assert_eq!(body, None);
+}
+
+/// Guards against "may have run" for a request of which no byte was sent.
+#[test]
+fn a_refused_connection_is_undelivered() {
+    // A loopback number that no other test uses, so that none takes the port in between.
+    let listener = TcpListener::bind("127.0.0.77:0").expect("port");
+    let address = listener.local_addr().expect("address").to_string();
+    drop(listener);
+    assert_eq!(outcome_at(address).0, EndpointOutcome::Undelivered);
+}
+
+/// Guards against "not delivered" for a request that arrived and whose answer was cut off.
+#[test]
+fn a_cut_connection_is_unknown() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("port");
+    let address = listener.local_addr().expect("address").to_string();
+    thread::spawn(move || {
+        for stream in listener.incoming() {
+            let mut stream = stream.expect("connection");
+            let mut part = [0; 64];
+            let _ = stream.read(&mut part).expect("request");
+        }
+    });
+    assert_eq!(outcome_at(address).0, EndpointOutcome::Unknown);
+}
--- /dev/null
+++ b/tests/gate.rs
@@ -0,0 +1,171 @@
+//! The gate in front of the HTTP server, over real sockets.
+
+use std::io::Read;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+use rouille::Response;
+use rouille::Server;
+
+use mustardpath::control;
+use mustardpath::control::EventReceiver;
+use mustardpath::exchange::ExchangeTable;
+use mustardpath::gate;
+use mustardpath::gate::DepartureNews;
+use mustardpath::gate::GateContext;
+use mustardpath::gate::GatePhase;
+use mustardpath::gate::GateThread;
+use mustardpath_core::event::EventInput;
+
+/// A gate in front of a server that answers `pong`, with small limits.
+struct TestGate {
+    address: SocketAddr,
+    gate: GateThread,
+    exchanges: Arc<ExchangeTable>,
+    events: EventReceiver,
+}
+
+impl TestGate {
+    fn start(send_time: Duration) -> Self {
+        let exchanges = Arc::new(ExchangeTable::new(16));
+        let table = Arc::clone(&exchanges);
+        let server = Server::new("127.0.0.1:0", move |request| {
+            if request.url() == "/hold" {
+                // An exchange that stays open until the caller leaves.
+                let connection = request.remote_addr().port();
+                let open = table.open(Some(connection), None).expect("room");
+                let _ = open.replies.recv();
+            }
+            Response::text("pong")
+        })
+        .expect("server");
+        let listener = TcpListener::bind("127.0.0.1:0").expect("port");
+        let address = listener.local_addr().expect("address");
+        let (sender, events) = control::event_channel();
+        let gate = gate::spawn(GateContext {
+            listener,
+            server: server.server_addr(),
+            connections: 200,
+            request_bytes: 2_000,
+            send_time,
+            departures: Some(DepartureNews {
+                exchanges: Arc::clone(&exchanges),
+                events: sender,
+            }),
+        })
+        .expect("gate");
+        thread::spawn(move || server.run());
+        Self {
+            address,
+            gate,
+            exchanges,
+            events,
+        }
+    }
+
+    fn connect(&self) -> TcpStream {
+        TcpStream::connect(self.address).expect("connection")
+    }
+}
+
+fn ask(stream: &mut TcpStream) -> String {
+    stream
+        .write_all(b"GET /ping HTTP/1.1\r\nHost: test\r\n\r\n")
+        .expect("request");
+    let mut answer = Vec::new();
+    let mut part = [0; 1_024];
+    while !answer.ends_with(b"pong") {
+        let count = stream.read(&mut part).expect("answer");
+        assert!(count > 0, "the connection ended before the answer");
+        answer.extend_from_slice(&part[..count]);
+    }
+    String::from_utf8(answer).expect("text")
+}
+
+/// Guards against connections that the HTTP library leaves in its queue while others stay open:
+/// each of many that arrive at once is answered, and none has to close for that.
+#[test]
+fn connections_that_arrive_at_once_are_all_answered() {
+    let gate = TestGate::start(gate::SEND_TIME);
+    let callers: Vec<_> = (0..100)
+        .map(|_| {
+            let mut stream = gate.connect();
+            thread::spawn(move || {
+                ask(&mut stream);
+                stream
+            })
+        })
+        .collect();
+    let streams: Vec<TcpStream> = callers
+        .into_iter()
+        .map(|caller| caller.join().expect("answer"))
+        .collect();
+    assert_eq!(streams.len(), 100);
+}
+
+/// Guards against senders that keep a connection forever by sending a byte now and then.
+#[test]
+fn a_slow_sender_is_cut() {
+    let gate = TestGate::start(Duration::from_millis(300));
+    let mut stream = gate.connect();
+    let head = b"POST /ping HTTP/1.1\r\nContent-Length: 1000000\r\n\r\n";
+    stream.write_all(head).expect("head");
+    let mut sent = 0;
+    while stream.write_all(b"x").is_ok() {
+        sent += 1;
+        // Below the limit of bytes, so that the time is what cuts.
+        assert!(sent < 1_000, "the slow sender is still served");
+        thread::sleep(Duration::from_millis(20));
+    }
+}
+
+/// Guards against requests without an end: the connection is cut at the limit.
+#[test]
+fn an_endless_request_is_cut() {
+    let gate = TestGate::start(gate::SEND_TIME);
+    let mut stream = gate.connect();
+    let mut sent = 0;
+    while stream.write_all(&[b'x'; 1_000]).is_ok() {
+        sent += 1_000;
+        assert!(sent < 64 << 20, "an endless header is still read");
+    }
+}
+
+/// Guards against work that goes on for a caller who has left.
+#[test]
+fn a_caller_that_leaves_is_reported() {
+    let mut gate = TestGate::start(gate::SEND_TIME);
+    let mut stream = gate.connect();
+    stream
+        .write_all(b"GET /hold HTTP/1.1\r\nHost: test\r\n\r\n")
+        .expect("request");
+    while gate.exchanges.is_empty() {
+        thread::sleep(Duration::from_millis(10));
+    }
+    drop(stream);
+    let event = gate.events.blocking_recv().expect("event");
+    assert!(matches!(event, EventInput::CallerGone { .. }), "{event:?}");
+    assert!(gate.exchanges.is_empty());
+}
+
+/// Guards against answers cut by a stop, and against callers that keep their connections: while
+/// the gate drains, answers are whole and tell the caller to close.
+#[test]
+fn a_draining_gate_answers_and_says_close() {
+    let gate = TestGate::start(gate::SEND_TIME);
+    let mut stream = gate.connect();
+    assert!(!ask(&mut stream).contains("Connection: close"));
+    let switch = gate.gate.switch();
+    switch.enter(GatePhase::Draining);
+    assert!(ask(&mut stream).contains("Connection: close"));
+    switch.enter(GatePhase::Closing);
+    gate.gate.join();
+    let mut rest = Vec::new();
+    assert_eq!(stream.read_to_end(&mut rest).expect("end"), 0);
+    assert!(TcpStream::connect(gate.address).is_err(), "still listening");
+}
