Name the wait of a job's read wait_ms

Cause: the route read ?wait=, the command line and the API page send wait_ms, so `mustardpath wait` asked every 500 ms instead of waiting at the daemon.

Ruled out: renaming it in the command line; all other parameters and headers in ms say so in their names.

Change: the route and the whole-path test use wait_ms.

Conclusion: one name for one parameter.

--- a/src/route_table.rs
+++ b/src/route_table.rs
@@ -25,7 +25,7 @@
 use mustardpath_core::units::SpanText;
 use mustardpath_core::units::TimeSpan;
 
-/// Longest wait of one `GET /v1/jobs/{id}?wait=`. It bounds the time that a caller takes a thread.
+/// Longest wait of one `GET /v1/jobs/{id}?wait_ms=`. It bounds the time that a caller takes a thread.
 pub const LONGEST_WAIT: TimeSpan = TimeSpan::from_secs(30);
 
 /// Bytes of all header names and values together.
@@ -268,10 +268,10 @@
 ) -> Result<CallerCommand, FailureReport> {
     let team = team(request, limits)?;
     let job = job_id(job)?;
-    let Some(text) = request.query_value("wait") else {
+    let Some(text) = request.query_value("wait_ms") else {
         return Ok(CallerCommand::JobStatus { team, job });
     };
-    let wait = TimeSpan(number(text, "wait in ms")?).min(LONGEST_WAIT);
+    let wait = TimeSpan(number(text, "wait_ms")?).min(LONGEST_WAIT);
     Ok(CallerCommand::JobWait { team, job, wait })
 }
 
--- a/tests/whole_path.rs
+++ b/tests/whole_path.rs
@@ -27,7 +27,7 @@
 
 fn wait_for_end(bench: &TestBench, daemon: usize, job: &JobView) -> JobEnd {
     let mut caller = bench.caller(daemon);
-    let path = format!("/v1/jobs/{}?wait=5000", job.job);
+    let path = format!("/v1/jobs/{}?wait_ms=5000", job.job);
     until("the job ends", || {
         match local_cluster::decode_answer(caller.get(&path, PATIENCE)) {
             Ok(CallerAnswer::Job(job)) => job.end,
