Test that a daemon refuses a bad change

Cause: the checks in the daemon had a test of their function only.

Ruled out: a test over sockets, which would show no more.

Change: tests/config_change.rs publishes a weight of zero through the reducer of a simulated deployment.

Conclusion: a bad change does not come into force through a daemon.

--- /dev/null
+++ b/tests/config_change.rs
@@ -0,0 +1,29 @@
+//! A change of team files that is sent to a daemon without the publishing tool.
+
+// The cells' scene has more than this test needs.
+#[allow(dead_code)]
+mod cells;
+
+use crate::cells::scene;
+use mustardpath_core::effect::CallerAnswer;
+use mustardpath_core::ids::ConfigVersion;
+use mustardpath_core::kind::ErrorKind;
+use mustardpath_core::units::TimeSpan;
+
+/// Guards against a change that comes into force although the publishing tool would refuse it.
+#[test]
+fn a_daemon_refuses_a_bad_change() {
+    let mut driver = scene::start(false);
+    let caller = scene::publish(&mut driver, 1, 0);
+    driver.run_for(TimeSpan::from_secs(2));
+    let Some((_, CallerAnswer::Failure(report))) = &driver.call(caller).answer else {
+        panic!("the change is not refused");
+    };
+    assert_eq!(report.kind, ErrorKind::BadConfig);
+    assert!(
+        report.detail.ends_with("weight: must not be zero"),
+        "{}",
+        report.detail
+    );
+    assert_eq!(driver.ledger().config.version, ConfigVersion(1));
+}
