--- a/src/bin/mustardpathd.rs
+++ b/src/bin/mustardpathd.rs
@@ -32,7 +32,7 @@
         settings.caller_address,
         settings.peer_address
     );
-    signals::spawn(daemon.events())?;
+    signals::spawn(daemon.stop_handle())?;
     daemon.wait();
     Ok(())
 }
