Send the gauges of jobs and of the log's age

Cause: jobs_waiting, jobs_placed and log_age are metrics with a row on the operations page, but nothing set them.

Ruled out: each tick, which is 10 times a second; the heartbeat's 2 s is enough for a gauge.

Change: dump::report_gauges with each heartbeat. log_age is not sent before the first confirmed read.

Conclusion: each metric of the page is sent.

--- a/core/src/dump.rs
+++ b/core/src/dump.rs
@@ -5,8 +5,10 @@
 use serde_json::json;
 
 use crate::config::TeamFile;
+use crate::context::StepContext;
 use crate::domain;
 use crate::effect::DaemonView;
+use crate::effect::MetricName;
 use crate::effect::TeamView;
 use crate::gang::GangRun;
 use crate::ids::JobId;
@@ -95,6 +97,17 @@
     }
 }
 
+/// Sets the gauges that describe the ledger and the log.
+pub fn report_gauges(state: &DaemonState, context: &mut StepContext<'_>) {
+    let waiting = state.ledger.queued_count() as u64;
+    let placed = state.ledger.placed_count() as u64;
+    context.count(MetricName::JobsWaiting, waiting);
+    context.count(MetricName::JobsPlaced, placed);
+    if let Some(confirmed) = state.reader.confirmed_at {
+        context.count(MetricName::LogAge, context.at.since(confirmed).0);
+    }
+}
+
 /// Returns the state as JSON text.
 #[must_use]
 pub fn state_json(state: &DaemonState, at: ClockTime) -> String {
--- a/core/src/member.rs
+++ b/core/src/member.rs
@@ -6,6 +6,7 @@
 use twox_hash::XxHash64;
 
 use crate::context::StepContext;
+use crate::dump;
 use crate::effect::ControlEffect;
 use crate::effect::LogPart;
 use crate::effect::PeerHeartbeat;
@@ -181,6 +182,7 @@
     if context.at >= state.members.heartbeat_due {
         state.members.heartbeat_due = context.at + state.settings.timing.heartbeat;
         send_heartbeats(state, context);
+        dump::report_gauges(state, context);
     }
     forget_gone(state, context.at);
     redraw_shares(state, context);
