Show on the operations page how to try a service

Cause: short requests are served now, and the page had no command that shows whether a service answers.

Ruled out: a command of its own for it; `request` and `answer` are what a caller uses as well.

Change: a section of the page, run by tests/operations.rs like the rest.

Conclusion: a short request and an at-most-once request work from the command line through a daemon to an endpoint.

--- a/tests/operations.rs
+++ b/tests/operations.rs
@@ -224,6 +224,10 @@
 fn follow(deployment: &mut TestDeployment, command: &str, text: &str) {
     if command.contains(" apply ") {
         assert!(text.contains("published as version 1\n"), "{text}");
+    } else if command.contains(" request ") {
+        assert!(text.starts_with("answer to "), "{text}");
+    } else if command.contains(" answer oncall-booking") {
+        assert!(text.contains("answered"), "{text}");
     } else if command.contains(" answer ") {
         let row = text.lines().nth(1).unwrap_or_default();
         let job = row.split_whitespace().nth(2).unwrap_or_default();
