--- a/tests/cells/client.rs
+++ b/tests/cells/client.rs
@@ -19,9 +19,6 @@
 /// Time between two tries.
 const RETRY: TimeSpan = TimeSpan::from_secs(1);
 
-/// Whether the daemons serve short requests. Until they do, the cells have jobs only.
-pub const REQUESTS_SERVED: bool = false;
-
 /// One piece of work of a caller.
 #[derive(Clone, Debug)]
 pub struct CallerOrder {
@@ -83,17 +80,14 @@
     /// Returns the work of a cell: a gang, a job and a request that may not be repeated, and a
     /// request that may.
     pub fn all() -> Vec<Self> {
-        let mut orders = vec![
+        let body = br#"{"run_ms": 300, "result": "a"}"#;
+        let once_body = br#"{"run_ms": 300, "result": "b"}"#;
+        vec![
             Self::job("gang", "gang", 20_000),
             Self::job("once", "once", 8_000),
-        ];
-        if REQUESTS_SERVED {
-            let body = br#"{"run_ms": 300, "result": "a"}"#;
-            orders.push(Self::request("ask", "ask", body));
-            let body = br#"{"run_ms": 300, "result": "b"}"#;
-            orders.push(Self::request("ask-once", "ask-once", body));
-        }
-        orders
+            Self::request("ask", "ask", body),
+            Self::request("ask-once", "ask-once", once_body),
+        ]
     }
 
     /// Returns one of the small jobs that arrive all the time.
