Repeat reports of ended tasks until the end is on record

Cause: random interleavings of faults found placed jobs that stay placed for good. A worker restarts, the holder of its share notices that placed tasks are gone and reports them once. The report is lost when the planner is paused, its term has just run out, or the network is cut, and nothing repeats it.

Ruled out: sending the report to all daemons. It is lost as well when the planner is the reporter itself and its term has run out.

Change: missing tasks are kept as ended beside those that the worker reports, and each renewal reports all ends that are not on record. While recent tasks are missing, the next renewal lists all tasks again.

Conclusion: a report may be lost any number of times.

--- a/core/src/lease.rs
+++ b/core/src/lease.rs
@@ -51,6 +51,8 @@
     pub revision: u64,
     /// The worker's boot number, once it has answered.
     pub boot: Option<u64>,
+    /// Revision that the last renewal asked from; the answer to 0 lists all tasks.
+    asked_from: u64,
     /// Whether a call is in flight.
     pub calling: bool,
     /// When the first of the calls that went unanswered was noticed.
@@ -104,6 +106,7 @@
             renewed_at: at,
             revision: 0,
             boot: None,
+            asked_from: 0,
             calling: false,
             failing_since: None,
             ended: BTreeMap::new(),
@@ -209,6 +212,7 @@
     };
     if let Some(entry) = state.leases.entries.get_mut(worker) {
         entry.calling = true;
+        entry.asked_from = seen;
         if !silent {
             entry.renewed_at = at;
         }
@@ -228,31 +232,29 @@
     let Some(entry) = state.leases.entries.get_mut(worker) else {
         return;
     };
-    let first = entry.boot.is_none();
-    let rebooted = entry.boot.is_some_and(|old| old != boot);
+    let restarted = entry.boot != Some(boot);
+    let complete = entry.asked_from == 0;
     entry.boot = Some(boot);
-    entry.revision = if rebooted { 0 } else { revision };
-    take_tasks(state, worker, tasks, context);
-    if rebooted {
-        state.leases.schedule(worker, context.at);
-    } else if first || revision > 0 {
-        forget_recorded(state, worker, context);
-    }
-    if first {
-        // A worker that has restarted has forgotten the term and would take older commands.
-        let term = state.ledger.term.number;
-        call::send(
-            state,
-            worker,
-            WorkerCommand::Fence { term },
-            CallPurpose::Refence,
-            context,
-        );
-        report_missing(state, worker, tasks, context);
+    entry.revision = if restarted && !complete { 0 } else { revision };
+    if restarted {
+        refence(state, worker, context);
     }
-    if rebooted && let Some(entry) = state.leases.entries.get_mut(worker) {
-        entry.boot = None;
+    note_tasks(state, worker, tasks, context);
+    if complete {
+        note_missing(state, worker, tasks, context);
+    } else if restarted {
+        state.leases.schedule(worker, context.at);
     }
+    report_pending(state, worker, context);
+    forget_recorded(state, worker, context);
+}
+
+/// Tells the term to a worker that may have restarted: it has forgotten the term and would take
+/// older commands.
+fn refence(state: &mut DaemonState, worker: &WorkerName, context: &mut StepContext<'_>) {
+    let term = state.ledger.term.number;
+    let command = WorkerCommand::Fence { term };
+    call::send(state, worker, command, CallPurpose::Refence, context);
 }
 
 /// Notes that a worker of the share has answered.
@@ -314,8 +316,8 @@
     );
 }
 
-/// Takes tasks that a worker reports.
-pub fn take_tasks(
+/// Keeps the ends of tasks and stops tasks whose attempt is over.
+fn note_tasks(
     state: &mut DaemonState,
     worker: &WorkerName,
     tasks: &[TaskStatus],
@@ -346,7 +348,17 @@
         };
         call::send(state, worker, command, CallPurpose::StopStale, context);
     }
-    let ends: Vec<TaskStatus> = tasks
+}
+
+/// Takes tasks that a worker has pushed, and reports their ends at once.
+pub fn take_pushed(
+    state: &mut DaemonState,
+    worker: &WorkerName,
+    tasks: &[TaskStatus],
+    context: &mut StepContext<'_>,
+) {
+    note_tasks(state, worker, tasks, context);
+    let ends = tasks
         .iter()
         .filter(|status| matches!(status.phase, TaskPhase::Ended { .. }))
         .filter(|status| !state.ledger.is_over(&status.task))
@@ -412,29 +424,49 @@
     );
 }
 
-/// Reports placed tasks that their worker does not know. A restart or a lapsed lease has ended
-/// them.
-fn report_missing(
+/// Notes placed tasks that their worker does not know as ended: a restart or a lapsed lease has
+/// ended them. Tasks that may not have been started yet are looked for again.
+fn note_missing(
     state: &mut DaemonState,
     worker: &WorkerName,
     tasks: &[TaskStatus],
     context: &mut StepContext<'_>,
 ) {
     let started_before = context.at - TimeSpan(state.settings.timing.reservation.0 * START_PARTS);
-    let missing: Vec<TaskStatus> = state
+    let (missing, recent): (Vec<TaskId>, Vec<TaskId>) = state
         .ledger
         .tasks_on(worker)
         .filter(|task| !tasks.iter().any(|status| status.task == *task))
-        .filter(|task| placed_before(state, task, started_before))
-        .map(gone_status)
-        .collect();
-    if !missing.is_empty() {
-        context.warn(
-            LogPart::Lease,
-            format!("{worker} no longer has {} placed tasks", missing.len()),
-        );
+        .partition(|task| placed_before(state, task, started_before));
+    let Some(entry) = state.leases.entries.get_mut(worker) else {
+        return;
+    };
+    if !recent.is_empty() {
+        entry.revision = 0;
+    }
+    let known = entry.ended.len();
+    for task in missing {
+        entry.ended.entry(task).or_insert_with(|| gone_status(task));
     }
-    report(state, worker, missing, context);
+    let count = entry.ended.len() - known;
+    if count > 0 {
+        let line = format!("{worker} no longer has {count} placed tasks");
+        context.warn(LogPart::Lease, line);
+    }
+}
+
+/// Reports all ends that are not on record. A report is lost when the planner changes, pauses or is
+/// out of reach, so it is repeated with each renewal.
+fn report_pending(state: &mut DaemonState, worker: &WorkerName, context: &mut StepContext<'_>) {
+    let Some(entry) = state.leases.entries.get(worker) else {
+        return;
+    };
+    let pending = entry.ended.values();
+    let pending = pending
+        .filter(|status| !state.ledger.is_over(&status.task))
+        .cloned()
+        .collect();
+    report(state, worker, pending, context);
 }
 
 fn placed_before(state: &DaemonState, task: &TaskId, limit: ClockTime) -> bool {
--- a/core/src/reducer.rs
+++ b/core/src/reducer.rs
@@ -57,7 +57,7 @@
             call::answered(state, *call, worker, outcome, context);
         }
         EventInput::WorkerReport { worker, tasks } => {
-            lease::take_tasks(state, worker, tasks, context);
+            lease::take_pushed(state, worker, tasks, context);
         }
         EventInput::EndpointAnswer {
             request,
