Test refusals and planned stops through real sockets

Cause: nothing showed that refused commands say "not run" and run nothing, or that a planned stop cuts no request.

Change: routes alone with malformed and oversized commands; the same through sockets with the problem-details answers; a stop under load of four callers without pauses; a job whose daemon, the planner, stops while it runs.

Ruled out: 404 for a stranger who names an unknown team. The reducer tells only operators which teams there are; the test follows it.

Conclusion: refusals and stops hold over sockets.

--- a/src/local_cluster.rs
+++ b/src/local_cluster.rs
@@ -139,7 +139,7 @@
     /// Returns an operator's client of one daemon.
     #[must_use]
     pub fn operator(&self, address: &str) -> CallerClient {
-        CallerClient::new(address, None, &self.operator_key)
+        CallerClient::new(address, &self.operator_key)
     }
 }
 
@@ -159,18 +159,21 @@
 impl CallerClient {
     /// Creates a client that presents a key.
     #[must_use]
-    pub fn new(address: &str, team: Option<&str>, key: &str) -> Self {
-        let mut headers = vec![("Authorization", format!("Bearer {key}"))];
-        if let Some(team) = team {
-            headers.push(("Mustardpath-Team", team.to_string()));
-        }
+    pub fn new(address: &str, key: &str) -> Self {
         Self {
             address: address.into(),
-            headers,
+            headers: vec![("Authorization", format!("Bearer {key}"))],
             client: HttpClient::new(ANSWER_BYTES),
         }
     }
 
+    /// Names the team that the client speaks for.
+    #[must_use]
+    pub fn for_team(mut self, team: &str) -> Self {
+        self.headers.push(("Mustardpath-Team", team.to_string()));
+        self
+    }
+
     /// Returns the address of the daemon that is asked.
     #[must_use]
     pub fn address(&self) -> &str {
--- a/src/local_load.rs
+++ b/src/local_load.rs
@@ -113,7 +113,7 @@
     fn run(&self) {
         let address = &self.addresses[0];
         let team = self.plan.team.as_str();
-        let mut client = CallerClient::new(address, Some(team), &self.key);
+        let mut client = CallerClient::new(address, &self.key).for_team(team);
         let numbers = (self.number..self.plan.count).step_by(self.plan.callers as usize);
         let pause = self.spread / (self.plan.count / self.plan.callers).max(1);
         let mut jobs = Vec::new();
--- a/tests/bench/mod.rs
+++ b/tests/bench/mod.rs
@@ -1,5 +1,8 @@
 //! A small deployment for the tests of whole processes.
 
+// Each test binary uses its own part of this module.
+#![allow(dead_code)]
+
 use std::slice;
 use std::thread;
 use std::time::Duration;
@@ -10,9 +13,11 @@
 use mustardpath::local_cluster::ClusterTuning;
 use mustardpath::local_cluster::LocalCluster;
 use mustardpath::settings_file;
+use mustardpath::standin_platform::PlatformCall;
 use mustardpath_core::config::KeyDigest;
 use mustardpath_core::config::TeamFile;
 use mustardpath_core::units::TimeSpan;
+use mustardpath_standin::checker::OutcomeReport;
 
 /// Longest time for one answer. It only ends a test that would hang.
 pub const PATIENCE: Duration = Duration::from_secs(60);
@@ -83,9 +88,17 @@
         });
     }
 
+    /// Returns the broken promises and the number of started tasks.
+    pub fn outcome(&self) -> (OutcomeReport, usize) {
+        let (reply, replies) = crossbeam_channel::bounded(1);
+        let call = PlatformCall::Outcome { reply };
+        self.cluster.platform.send(call).expect("stand-ins");
+        replies.recv().expect("report")
+    }
+
     pub fn caller(&self, daemon: usize) -> CallerClient {
         let address = &self.cluster.caller_addresses()[daemon];
-        CallerClient::new(address, Some("sand"), &self.key)
+        CallerClient::new(address, &self.key).for_team("sand")
     }
 }
 
--- /dev/null
+++ b/tests/refusals.rs
@@ -0,0 +1,218 @@
+//! Commands that are refused, through the routes alone and through real sockets.
+
+mod bench;
+
+use std::io::Read;
+use std::io::Write;
+use std::net::TcpStream;
+
+use bench::PATIENCE;
+use bench::TestBench;
+
+use mustardpath::http_client::HttpReply;
+use mustardpath::local_cluster;
+use mustardpath::local_cluster::CallerClient;
+use mustardpath::route_table;
+use mustardpath::route_table::HttpRequest;
+use mustardpath::route_table::RoutedRequest;
+use mustardpath_core::event::CallerCommand;
+use mustardpath_core::kind::ErrorKind;
+use mustardpath_core::settings::LimitSettings;
+use mustardpath_core::units::TimeSpan;
+
+fn route(
+    method: &str,
+    target: &str,
+    headers: &[(&str, &str)],
+    body: &[u8],
+) -> Result<RoutedRequest, ErrorKind> {
+    let (path, query) = target.split_once('?').unwrap_or((target, ""));
+    let headers: Vec<(String, String)> = headers
+        .iter()
+        .map(|(name, value)| (name.to_string(), value.to_string()))
+        .collect();
+    let request = HttpRequest {
+        method,
+        path,
+        query,
+        headers: &headers,
+        body,
+    };
+    route_table::route(&request, &LimitSettings::default()).map_err(|report| report.kind)
+}
+
+/// Method, target, headers, body and the kind of the refusal.
+type RefusedCase<'a> = (
+    &'a str,
+    &'a str,
+    &'a [(&'a str, &'a str)],
+    &'a [u8],
+    ErrorKind,
+);
+
+/// Guards against malformed and oversized commands that reach the reducer.
+#[test]
+fn malformed_commands_are_refused_by_the_routes() {
+    const TEAM: (&str, &str) = ("Mustardpath-Team", "sand");
+    const KEY: (&str, &str) = ("Idempotency-Key", "k1");
+    let job = br#"{ "service": "analysis" }"#;
+    let large = format!(
+        r#"{{ "service": "s", "payload": "{}" }}"#,
+        "x".repeat(20_000)
+    );
+    let long = "x".repeat(200);
+    let huge = "x".repeat(9_000);
+    let cases: [RefusedCase<'_>; 13] = [
+        ("GET", "/v2/jobs", &[], b"", ErrorKind::NotFound),
+        ("DELETE", "/v1/jobs/1", &[TEAM], b"", ErrorKind::NotFound),
+        ("POST", "/v1/jobs", &[KEY], job, ErrorKind::BadRequest),
+        ("POST", "/v1/jobs", &[TEAM], job, ErrorKind::BadRequest),
+        (
+            "POST",
+            "/v1/jobs",
+            &[TEAM, KEY],
+            b"{",
+            ErrorKind::BadRequest,
+        ),
+        (
+            "POST",
+            "/v1/jobs",
+            &[TEAM, KEY],
+            br#"{ "servce": "a" }"#,
+            ErrorKind::BadRequest,
+        ),
+        (
+            "POST",
+            "/v1/jobs",
+            &[TEAM, KEY],
+            large.as_bytes(),
+            ErrorKind::TooLarge,
+        ),
+        (
+            "POST",
+            "/v1/jobs",
+            &[TEAM, ("Idempotency-Key", &long)],
+            job,
+            ErrorKind::TooLarge,
+        ),
+        ("GET", "/v1/jobs/-1", &[TEAM], b"", ErrorKind::BadRequest),
+        (
+            "GET",
+            "/v1/jobs/1?wait=soon",
+            &[TEAM],
+            b"",
+            ErrorKind::BadRequest,
+        ),
+        ("GET", "/v1/keys/", &[TEAM], b"", ErrorKind::BadRequest),
+        (
+            "POST",
+            "/v1/requests/a b",
+            &[TEAM],
+            b"",
+            ErrorKind::BadRequest,
+        ),
+        (
+            "GET",
+            "/ready",
+            &[("Filler", &huge)],
+            b"",
+            ErrorKind::TooLarge,
+        ),
+    ];
+    for (method, target, headers, body, kind) in cases {
+        assert_eq!(
+            route(method, target, headers, body),
+            Err(kind),
+            "{method} {target}"
+        );
+    }
+}
+
+/// Guards against a wait that takes a thread for longer than the bound.
+#[test]
+fn a_long_wait_is_shortened() {
+    let routed = route(
+        "GET",
+        "/v1/jobs/7?wait=86400000",
+        &[("mustardpath-team", "sand")],
+        b"",
+    );
+    let Ok(RoutedRequest::Command(CallerCommand::JobWait { wait, .. })) = routed else {
+        panic!("not a wait: {routed:?}");
+    };
+    assert_eq!(wait, TimeSpan::from_secs(30));
+}
+
+fn check_problem(reply: &HttpReply, status: u16, kind: &str) {
+    assert_eq!(
+        reply.status,
+        status,
+        "{}",
+        String::from_utf8_lossy(&reply.body)
+    );
+    assert_eq!(
+        reply.header("Content-Type"),
+        Some("application/problem+json")
+    );
+    let field = |name| local_cluster::problem_field(reply, name);
+    assert_eq!(field("kind").as_deref(), Some(kind));
+    assert_eq!(field("run").as_deref(), Some("not_run"));
+    assert_eq!(field("type"), Some(format!("urn:mustardpath:error:{kind}")));
+    assert!(field("title").is_some() && field("detail").is_some());
+}
+
+/// Guards against refusals that say too little or run the work: each is a problem-details answer
+/// that says "not run", and no worker has started anything at the end.
+#[test]
+fn refused_commands_say_that_nothing_ran() {
+    let bench = TestBench::start();
+    let key = |text: &str| vec![("Idempotency-Key", text.to_string())];
+    let job = br#"{ "service": "analysis" }"#;
+    let mut caller = bench.caller(0);
+    let address = caller.address().to_string();
+
+    let mut operator = bench.cluster.operator(&address).for_team("dunes");
+    let reply = operator.post("/v1/jobs", &key("a"), job, PATIENCE);
+    check_problem(&reply.expect("reply"), 404, "unknown_team");
+
+    // Only operators learn which teams there are.
+    let mut stranger = CallerClient::new(&address, &bench.key).for_team("dunes");
+    let reply = stranger.post("/v1/jobs", &key("a"), job, PATIENCE);
+    check_problem(&reply.expect("reply"), 403, "forbidden");
+
+    let mut thief = CallerClient::new(&address, "another key").for_team("sand");
+    let reply = thief.post("/v1/jobs", &key("a"), job, PATIENCE);
+    check_problem(&reply.expect("reply"), 403, "forbidden");
+
+    let reply = caller.post("/v1/jobs", &key("a"), br#"{ "service": "none" }"#, PATIENCE);
+    check_problem(&reply.expect("reply"), 404, "unknown_service");
+
+    let reply = caller.post("/v1/jobs", &key("a"), b"no json", PATIENCE);
+    check_problem(&reply.expect("reply"), 400, "bad_request");
+
+    let body = vec![b'x'; (1 << 20) + 1];
+    let reply = caller.post("/v1/requests/check", &key("a"), &body, PATIENCE);
+    check_problem(&reply.expect("reply"), 413, "too_large");
+
+    let (_, starts) = bench.outcome();
+    assert_eq!(starts, 0, "a refused command has started a task");
+}
+
+/// Guards against a daemon that goes down or hangs on bytes that are no HTTP.
+#[test]
+fn bytes_that_are_no_http_close_their_connection_only() {
+    let bench = TestBench::start();
+    let address = bench.cluster.caller_addresses()[0].clone();
+    for bytes in [
+        b"\0\xff\xfe\r\n\r\n".as_slice(),
+        b"GET\r\n\r\n",
+        b"\x16\x03\x01\x02\r\n\r\n",
+    ] {
+        let mut stream = TcpStream::connect(&address).expect("connection");
+        stream.write_all(bytes).expect("bytes");
+        let mut rest = Vec::new();
+        // A reset is as good as an end.
+        let _ = stream.read_to_end(&mut rest);
+    }
+    assert!(bench.cluster.operator(&address).is_ready());
+}
--- /dev/null
+++ b/tests/shutdown.rs
@@ -0,0 +1,119 @@
+//! Planned stops under load.
+
+mod bench;
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::thread;
+
+use bench::PATIENCE;
+use bench::TestBench;
+use bench::until;
+
+use mustardpath::http_client::CallError;
+use mustardpath::local_cluster;
+use mustardpath::local_cluster::CallerClient;
+use mustardpath_core::effect::CallerAnswer;
+use mustardpath_core::effect::JobEnd;
+use mustardpath_standin::endpoint;
+
+/// Requests of each caller before the stop.
+const BEFORE: usize = 5;
+
+/// Sends requests until the daemon refuses them as "not run" or takes no connection. Returns how
+/// many were answered.
+fn call_until_refused(caller: &mut CallerClient, name: &str, stopping: &AtomicBool) -> usize {
+    let mut answered = 0;
+    loop {
+        let body = format!(r#"{{ "run_ms": 30, "name": "{name}-{answered}" }}"#);
+        let headers = [("Idempotency-Key", format!("{name}-{answered}"))];
+        match caller.post("/v1/requests/check", &headers, body.as_bytes(), PATIENCE) {
+            Ok(reply) if reply.status == 200 => {
+                assert_eq!(reply.body, endpoint::answer_to(body.as_bytes()));
+                answered += 1;
+            }
+            Ok(reply) => {
+                let run = local_cluster::problem_field(&reply, "run");
+                assert_eq!(run.as_deref(), Some("not_run"), "{name}-{answered}");
+                if stopping.load(Ordering::SeqCst) {
+                    return answered;
+                }
+            }
+            Err(CallError::Undelivered(_)) => return answered,
+            Err(CallError::Unknown(error)) => panic!("{name}-{answered} was cut: {error}"),
+        }
+    }
+}
+
+/// Guards against a planned stop that cuts requests: callers send without a pause while the daemon
+/// stops, and each of them gets whole answers and then refusals that say "not run".
+#[test]
+fn a_planned_stop_cuts_no_request() {
+    let mut bench = TestBench::start();
+    let callers: Vec<CallerClient> = (0..4).map(|_| bench.caller(1)).collect();
+    let mut probe = bench.caller(1);
+    let headers = [("Idempotency-Key", "probe".to_string())];
+    until("requests are served", || {
+        let reply = probe.post("/v1/requests/check", &headers, b"{}", PATIENCE);
+        reply.is_ok_and(|reply| reply.status == 200).then_some(())
+    });
+    let daemon = bench.cluster.take_daemon(&"d2".into()).expect("daemon");
+    let stopping = Arc::new(AtomicBool::new(false));
+    let threads: Vec<_> = (0..)
+        .zip(callers)
+        .map(|(number, mut caller)| {
+            let stopping = Arc::clone(&stopping);
+            thread::spawn(move || call_until_refused(&mut caller, &format!("c{number}"), &stopping))
+        })
+        .collect();
+    let mut status = bench.caller(1);
+    for number in 0..BEFORE {
+        let headers = [("Idempotency-Key", format!("before-{number}"))];
+        let reply = status.post(
+            "/v1/requests/check",
+            &headers,
+            b"{\"run_ms\": 30}",
+            PATIENCE,
+        );
+        assert!(reply.is_ok());
+    }
+    stopping.store(true, Ordering::SeqCst);
+    daemon.stop_handle().drain();
+    daemon.wait();
+    let answered: usize = threads
+        .into_iter()
+        .map(|thread| thread.join().expect("no request was cut"))
+        .sum();
+    assert!(answered > 0, "no request was answered before the stop");
+}
+
+/// Guards against jobs that are lost with the daemon that took them, the planner included.
+#[test]
+fn a_job_outlives_the_daemon_that_took_it() {
+    let mut bench = TestBench::start();
+    let body = br#"{ "service": "analysis", "payload": "{\"run_ms\": 1500, \"result\": \"r\"}" }"#;
+    let headers = [("Idempotency-Key", "survivor".to_string())];
+    let mut caller = bench.caller(0);
+    let job = until("the job is accepted", || {
+        let reply = caller.post("/v1/jobs", &headers, body, PATIENCE);
+        match local_cluster::decode_answer(reply) {
+            Ok(CallerAnswer::Job(view)) => Some(view.job),
+            _ => None,
+        }
+    });
+    let daemon = bench.cluster.take_daemon(&"d1".into()).expect("daemon");
+    daemon.stop_handle().drain();
+    daemon.wait();
+    let mut other = bench.caller(0);
+    let path = format!("/v1/jobs/{job}?wait=5000");
+    let end = until("the job ends", || {
+        match local_cluster::decode_answer(other.get(&path, PATIENCE)) {
+            Ok(CallerAnswer::Job(view)) => view.end,
+            _ => None,
+        }
+    });
+    assert_eq!(end, JobEnd::Finished { result: "r".into() });
+    let (report, _) = bench.outcome();
+    assert_eq!(report.lines(), Vec::<String>::new());
+}
--- a/tests/whole_path.rs
+++ b/tests/whole_path.rs
@@ -8,7 +8,6 @@
 
 use mustardpath::http_client::HttpReply;
 use mustardpath::local_cluster;
-use mustardpath::standin_platform::PlatformCall;
 use mustardpath_core::effect::CallerAnswer;
 use mustardpath_core::effect::JobEnd;
 use mustardpath_core::effect::JobView;
@@ -65,13 +64,7 @@
     let again = submit(&bench, 2, "analysis-1");
     assert_eq!(again.job, job.job);
     assert!(again.duplicate);
-    let (reply, replies) = crossbeam_channel::bounded(1);
-    bench
-        .cluster
-        .platform
-        .send(PlatformCall::Outcome { reply })
-        .expect("stand-ins");
-    let (report, starts) = replies.recv().expect("report");
+    let (report, starts) = bench.outcome();
     assert_eq!(report.lines(), Vec::<String>::new());
     assert_eq!(starts, 2, "both members of the gang started once");
 }
