Give the scene's short requests plain demands again

Ruled out: loosening the rule; a short request has no gang, no demand beyond one slot and is never preempted.

--- a/tests/cells/scene.rs
+++ b/tests/cells/scene.rs
@@ -101,18 +101,24 @@
 }
 
 fn service(work: WorkKind, repeatable: bool, members: u32, run_time: u64) -> ServiceSpec {
+    let demand = ResourceDemand {
+        slots: 1,
+        accelerators: if members > 1 { 8 } else { 1 },
+        cores: 8,
+        memory_mib: 1_024,
+    };
+    let is_job = work == WorkKind::Job;
     ServiceSpec {
         work,
         repeatable,
         urgent: false,
-        preemptible: repeatable,
+        preemptible: repeatable && is_job,
         priority: 0,
         members,
-        demand: ResourceDemand {
-            slots: 1,
-            accelerators: if members > 1 { 8 } else { 1 },
-            cores: 8,
-            memory_mib: 1_024,
+        demand: if is_job {
+            demand
+        } else {
+            ResourceDemand::one_slot()
         },
         adjacency: GangAdjacency::FewestRacks,
         spread_domains: false,
