--- a/tests/fault_matrix.rs
+++ b/tests/fault_matrix.rs
@@ -14,6 +14,7 @@
 
 use self::cells::fault::CellFault;
 use self::cells::fault::FAULTS;
+use self::cells::fault::SingleFault;
 use self::cells::run_cell;
 use self::cells::step::CellStep;
 use self::cells::step::STEPS;
@@ -124,3 +125,18 @@
     assert!(outcomes.len() >= LEAST_CELLS, "too few cells");
     assert_eq!(broken, 0, "broken cells are listed above");
 }
+
+#[test]
+fn a_partial_gang_ends_while_the_log_is_down() {
+    // Guards against half a gang that runs on alone because its planner died between two commands
+    // and nobody can take over without the log.
+    let fault = CellFault {
+        name: "daemon killed in between + log down 2 h",
+        parts: &[SingleFault::KilledBetween, SingleFault::LogDownHours],
+        twice: false,
+    };
+    for step in [CellStep::Start, CellStep::Stop] {
+        let (broken, _) = run_cell(step, &fault, false);
+        assert!(broken.is_empty(), "{step:?}: {broken:#?}");
+    }
+}
--- a/tests/interleavings.rs
+++ b/tests/interleavings.rs
@@ -162,3 +162,18 @@
         assert!(broken.is_empty(), "{moves:#?}: {broken:#?}");
     }
 }
+
+#[test]
+fn a_restarted_worker_does_not_let_a_job_run_twice() {
+    // Guards against a successor that takes the empty list of a restarted worker for proof that a
+    // job which may not be repeated has never started there.
+    let (broken, trace) = play(&[
+        moved(834, SingleFault::Paused, 0, 2, false),
+        moved(5_805, SingleFault::AppendRefused, 0, 1, true),
+        moved(8_639, SingleFault::WorkerDead, 0, 6, true),
+        moved(9_469, SingleFault::ConnectionSilent, 2, 5, false),
+        moved(13_776, SingleFault::KilledBefore, 0, 0, true),
+    ]);
+    trace.iter().for_each(|line| println!("{line}"));
+    assert!(broken.is_empty(), "{broken:#?}");
+}
