Renew new workers at once and refuse reservations without a lease

Cause: on a new deployment the first renewals were spread over 5 s. Workers granted reservations before they had a lease and then refused the start, so attempts ended as not started up to 18 times, and a claim match of which one member had started ended as unknown.

Change: first renewals of a share follow each other at 5 ms. Attempts that do not finish are logged with how they ended.

Conclusion: reservations are refused where starts would be.

--- a/core/src/ending.rs
+++ b/core/src/ending.rs
@@ -3,6 +3,7 @@
 use crate::call;
 use crate::call::CallPurpose;
 use crate::context::StepContext;
+use crate::effect::LogPart;
 use crate::effect::MetricName;
 use crate::event::CallOutcome;
 use crate::ids::JobId;
@@ -147,6 +148,10 @@
     if end == AttemptEnd::Preempted {
         context.count(MetricName::AttemptsPreempted, 1);
     }
+    if !matches!(end, AttemptEnd::Finished { .. }) {
+        let line = format!("job {job} attempt {attempt} ends: {end:?}");
+        context.info(LogPart::Gang, line);
+    }
     let term = state.ledger.term.number;
     let body = RecordBody::AttemptEnded {
         term,
--- a/core/src/lease.rs
+++ b/core/src/lease.rs
@@ -30,9 +30,9 @@
 use crate::worker::VmState;
 use crate::worker::WorkerCommand;
 
-/// Part of the renewal period over which a new share's first renewals are spread, so that taking a
-/// share over does not call all its workers at once.
-const FIRST_RENEWAL_PARTS: u64 = 3;
+/// Time between the first renewals of two workers of a new share, so that taking a share over does
+/// not call all its workers at once. New workers cannot start tasks before their first renewal.
+const FIRST_RENEWAL_STEP: TimeSpan = TimeSpan(5);
 
 /// Time after a placement before a task that its worker does not report counts as gone. The start
 /// follows the placement within the life of a reservation.
@@ -86,11 +86,10 @@
         .filter(|entry| member::share_owner(&live, &entry.info) == Some(&state.settings.daemon))
         .map(|entry| entry.info.worker.clone())
         .collect();
-    let spread = state.settings.timing.lease_renewal.0 / FIRST_RENEWAL_PARTS;
-    let count = mine.len().max(1) as u64;
+
     let mut entries = IndexMap::with_capacity(mine.len());
     for (index, worker) in (0..).zip(mine) {
-        let due = at + TimeSpan(spread * index / count);
+        let due = at + TimeSpan(FIRST_RENEWAL_STEP.0 * index);
         let entry = state.leases.entries.swap_remove(&worker);
         entries.insert(worker, entry.unwrap_or_else(|| LeaseEntry::new(at, due)));
     }
--- a/standin/src/worker.rs
+++ b/standin/src/worker.rs
@@ -280,6 +280,9 @@
     ) -> Result<WorkerReply, WorkerRefusal> {
         self.check_term(term)?;
         self.check_admission(task)?;
+        if self.lease_until.is_none() {
+            return Err(WorkerRefusal::NoLease);
+        }
         if let Some(entry) = self.tasks.get_mut(&task) {
             if let TaskStage::Reserved { until: lapses_at } = &mut entry.stage {
                 *lapses_at = until;
