Keep refusals of starting daemons apart in the fault cells

The trace shows a restarted daemon that answers a repeated key with NotReady before it has read the log; the request ran through its earlier process. Ruled out: dropping the check of refusals in the matrix; all other kinds of refusal are still held against the runs. Conclusion: whether NotReady may say "not run" of a key is open.

--- a/tests/fault_matrix.rs
+++ b/tests/fault_matrix.rs
@@ -12,6 +12,7 @@
 use std::sync::atomic::Ordering;
 use std::thread;
 
+use self::cells::CellRun;
 use self::cells::fault::CellFault;
 use self::cells::fault::FAULTS;
 use self::cells::fault::SingleFault;
@@ -140,3 +141,17 @@
         assert!(broken.is_empty(), "{step:?}: {broken:#?}");
     }
 }
+
+#[test]
+fn a_starting_daemon_does_not_refuse_a_key_that_ran() {
+    // Guards against "not run" for a repeated key from a daemon that has not read the log.
+    let mut run = CellRun::new(false);
+    let fault = FAULTS.iter().find(|fault| fault.name == "worker dead");
+    let actor = CellStep::TakeOver.reach(&mut run);
+    fault
+        .expect("the column exists")
+        .run(&mut run, actor.expect("the step comes"));
+    run.settle();
+    let untrue = run.orders.iter().filter(|order| order.refused_unread);
+    assert_eq!(untrue.count(), 0, "work that ran was refused as not run");
+}
