--- a/standin/src/endpoint.rs
+++ b/standin/src/endpoint.rs
@@ -1,5 +1,7 @@
 //! The request side of a model worker.
 
+use indexmap::IndexMap;
+
 use crate::fact::WorkerFact;
 use crate::task::WorkPayload;
 use crate::worker::WorkerModel;
@@ -47,6 +49,12 @@
 }
 
 impl WorkerModel {
+    /// Returns how often short requests with each key have run.
+    #[must_use]
+    pub const fn runs(&self) -> &IndexMap<RequestKey, u32> {
+        &self.runs
+    }
+
     /// Runs a short request when a slot is free.
     ///
     /// The owner calls this only while [`WorkerModel::answers`].
--- a/standin/src/worker.rs
+++ b/standin/src/worker.rs
@@ -115,12 +115,6 @@
         self.leaving
     }
 
-    /// Returns how often short requests with each key have run.
-    #[must_use]
-    pub const fn runs(&self) -> &IndexMap<RequestKey, u32> {
-        &self.runs
-    }
-
     /// Returns all tasks that the worker knows.
     #[must_use]
     pub fn tasks(&self, at: ClockTime) -> Vec<TaskStatus> {
