Mend what random interleavings of faults found

Cause, from traces of the interleavings and the fault matrix: - A job that may not be repeated ran twice. A worker finished it, died and came back empty, and a new planner took the empty list as proof that it never started. - Part of a gang went on alone while the log was down, when the planner was killed between two starts or stops. - A daemon that had not read the log refused a repeated key as "not run", although it had run through another daemon. - A key whose sender was killed stayed "in progress" until that daemon came back, because its last heartbeat counted however old it was.

Ruled out: the boot number in the placement record, which needs one more answer before each start; the uptime in the worker's answer gives the same.

Change: Fenced and Stopped carry the worker's uptime, and a task that the worker does not know counts as never started only when the worker has been up since before the placement. A key that cannot be looked up is answered as key_unverified (may have run). The heartbeat of an intent's writer has to be recent.

--- a/core/examples/capacity.rs
+++ b/core/examples/capacity.rs
@@ -188,6 +188,7 @@
         WorkerCommand::Fence { .. } => WorkerReply::Fenced {
             tasks: Vec::new(),
             leaving: false,
+            uptime: TimeSpan::from_secs(86_400),
         },
         WorkerCommand::Renew { seen, .. } => WorkerReply::Renewed {
             revision: *seen,
@@ -195,7 +196,10 @@
             leaving: false,
             boot: 1,
         },
-        WorkerCommand::Stop { .. } => WorkerReply::Stopped { tasks: Vec::new() },
+        WorkerCommand::Stop { .. } => WorkerReply::Stopped {
+            tasks: Vec::new(),
+            uptime: TimeSpan::from_secs(86_400),
+        },
         _ => WorkerReply::Done,
     }
 }
--- a/core/src/caller.rs
+++ b/core/src/caller.rs
@@ -95,8 +95,9 @@
             respond(caller, answer, context);
         }
         CallerCommand::KeyStatus { team, key } => {
-            let answer = authorize(state, credential, team)
-                .and_then(|_| key_view(state, team, key))
+            let answer = check_key_table(state)
+                .and_then(|()| authorize(state, credential, team))
+                .and_then(|_| key_view(state, team, key, context.at))
                 .map(CallerAnswer::Key);
             respond(caller, answer, context);
         }
@@ -185,6 +186,34 @@
     }
 }
 
+/// Checks that this daemon has a key table at all.
+///
+/// # Errors
+///
+/// Returns a report that leaves open whether the work has run: another daemon may have taken the
+/// key before.
+pub fn check_key_table(state: &DaemonState) -> Result<(), FailureReport> {
+    if state.reader.loaded {
+        return Ok(());
+    }
+    let detail = "the daemon is reading the log; ask again with the same key";
+    Err(FailureReport::new(ErrorKind::KeyUnverified, detail))
+}
+
+/// Checks that a key that is not in the table was not used before.
+///
+/// # Errors
+///
+/// Returns a report that leaves open whether the work has run, when the log has not confirmed its
+/// tail within the freshness bound.
+pub fn check_key_absence(state: &DaemonState, at: ClockTime) -> Result<(), FailureReport> {
+    if state.reader.is_fresh(at, state.settings.timing.freshness) {
+        return Ok(());
+    }
+    let detail = "the log has not answered; nothing was started, ask again with the same key";
+    Err(FailureReport::new(ErrorKind::KeyUnverified, detail))
+}
+
 /// Checks that this daemon takes new work.
 ///
 /// # Errors
@@ -290,13 +319,13 @@
     state: &DaemonState,
     team: &TeamName,
     key: &RequestKey,
+    at: ClockTime,
 ) -> Result<KeyView, FailureReport> {
-    let entry = state.ledger.key(team, key).ok_or_else(|| {
-        FailureReport::new(
-            ErrorKind::NotFound,
-            format!("team {team} has not used this key"),
-        )
-    })?;
+    let Some(entry) = state.ledger.key(team, key) else {
+        check_key_absence(state, at)?;
+        let detail = format!("team {team} has not used this key");
+        return Err(FailureReport::new(ErrorKind::NotFound, detail));
+    };
     let mut view = KeyView {
         key: key.clone(),
         state: String::new(),
@@ -309,7 +338,9 @@
             view.job = Some(*job);
             "job"
         }
-        KeyState::Intent { writer } if request::is_open_elsewhere(state, writer) => "in_progress",
+        KeyState::Intent { writer } if request::is_open_elsewhere(state, writer, at) => {
+            "in_progress"
+        }
         KeyState::Intent { .. }
         | KeyState::Done {
             end: RequestEnd::Unknown,
--- a/core/src/ending.rs
+++ b/core/src/ending.rs
@@ -79,6 +79,12 @@
     outcome: &CallOutcome,
     context: &mut StepContext<'_>,
 ) {
+    let remembers = match outcome {
+        CallOutcome::Reply {
+            reply: WorkerReply::Stopped { uptime, .. },
+        } => run::remembers(state, job, *uptime, context.at),
+        _ => false,
+    };
     let Some(run) = state.planner.runs.get_mut(&job) else {
         return;
     };
@@ -87,9 +93,9 @@
     }
     match outcome {
         CallOutcome::Reply {
-            reply: WorkerReply::Stopped { tasks },
+            reply: WorkerReply::Stopped { tasks, .. },
         } => {
-            run::settle_worker(run, worker, tasks);
+            run::settle_worker(run, worker, tasks, remembers || !run.recorded);
             close_when_stopped(state, job, context);
         }
         CallOutcome::Reply {
@@ -98,7 +104,7 @@
                     refusal: WorkerRefusal::UnknownTask,
                 },
         } => {
-            run::settle_worker(run, worker, &[]);
+            run::settle_worker(run, worker, &[], !run.recorded);
             close_when_stopped(state, job, context);
         }
         _ => {}
--- a/core/src/history.rs
+++ b/core/src/history.rs
@@ -13,6 +13,7 @@
 use crate::ids::DaemonName;
 use crate::ids::JobId;
 use crate::ids::LogOffset;
+use crate::lease;
 use crate::ledger::JobPhase;
 use crate::ledger::LedgerState;
 use crate::ledger::RecordEffect;
@@ -198,10 +199,11 @@
             state.members.send_heartbeat_now();
         }
         RecordBody::DomainSet { domain, .. } => domain::changed(state, domain, context),
-        RecordBody::JobPlaced { .. }
-        | RecordBody::RequestIntent { .. }
-        | RecordBody::RequestDone { .. }
-        | RecordBody::Unknown => {}
+        RecordBody::JobPlaced { workers, .. } => {
+            lease::look_after_placement(state, workers, context.at);
+        }
+        RecordBody::RequestIntent { .. } | RecordBody::RequestDone { .. } | RecordBody::Unknown => {
+        }
     }
 }
 
--- a/core/src/intent.rs
+++ b/core/src/intent.rs
@@ -103,7 +103,11 @@
 /// # Errors
 ///
 /// Returns why the request may not go on.
-pub fn check(state: &DaemonState, head: &RequestHead) -> Result<KeyVerdict, FailureReport> {
+pub fn check(
+    state: &DaemonState,
+    head: &RequestHead,
+    at: ClockTime,
+) -> Result<KeyVerdict, FailureReport> {
     let Some(name) = key_name(head) else {
         return Ok(KeyVerdict::Free);
     };
@@ -115,7 +119,7 @@
     }
     match state.ledger.key(&name.team, &name.key) {
         None => Ok(KeyVerdict::Free),
-        Some(entry) => check_entry(state, head, entry),
+        Some(entry) => check_entry(state, head, entry, at),
     }
 }
 
@@ -123,13 +127,14 @@
     state: &DaemonState,
     head: &RequestHead,
     entry: &KeyEntry,
+    at: ClockTime,
 ) -> Result<KeyVerdict, FailureReport> {
     if entry.service != head.service || entry.digest != head.digest {
         return Err(conflict());
     }
     match &entry.state {
         KeyState::Job { .. } => Err(conflict()),
-        KeyState::Intent { writer } if request::is_open_elsewhere(state, writer) => {
+        KeyState::Intent { writer } if request::is_open_elsewhere(state, writer, at) => {
             Err(in_progress())
         }
         KeyState::Intent { .. } => Err(unknown("the daemon that sent the request is gone")),
@@ -303,7 +308,7 @@
         return;
     };
     state.requests.intents.release(name, request);
-    match check(state, &entry.head) {
+    match check(state, &entry.head, context.at) {
         Ok(KeyVerdict::Known(answer)) => context.reply(entry.caller, answer),
         Ok(KeyVerdict::Free) => {
             let report = in_progress();
--- a/core/src/kind.rs
+++ b/core/src/kind.rs
@@ -63,6 +63,8 @@
         OutcomeUnknown,
         /// The same key is in progress.
         InProgress,
+        /// The log is out of reach, so this daemon cannot tell whether the key was used before.
+        KeyUnverified,
     }
 }
 
@@ -101,7 +103,7 @@
 }
 
 /// One row for each kind, in the order of the enum.
-pub const KIND_TABLE: [KindAnswer; 21] = [
+pub const KIND_TABLE: [KindAnswer; 22] = [
     row(
         ErrorKind::BadRequest,
         400,
@@ -249,6 +251,13 @@
         SOON,
         "key in progress",
     ),
+    row(
+        ErrorKind::KeyUnverified,
+        503,
+        RunStatus::MayHaveRun,
+        SOON,
+        "key cannot be looked up",
+    ),
 ];
 
 impl ErrorKind {
--- a/core/src/lease.rs
+++ b/core/src/lease.rs
@@ -34,10 +34,6 @@
 /// not call all its workers at once. New workers cannot start tasks before their first renewal.
 const FIRST_RENEWAL_STEP: TimeSpan = TimeSpan(5);
 
-/// Time after a placement before a task that its worker does not report counts as gone. The start
-/// follows the placement within the life of a reservation.
-const START_PARTS: u64 = 3;
-
 /// The lease of one worker of the share.
 #[derive(Clone, Debug)]
 pub struct LeaseEntry {
@@ -376,6 +372,13 @@
     if tasks.is_empty() {
         return;
     }
+    if !state
+        .reader
+        .is_fresh(context.at, state.settings.timing.freshness)
+    {
+        tell_all(state, worker, &tasks, context);
+        stop_partial_gangs(state, &tasks, context);
+    }
     if term::is_planner(state, context.at) {
         gang::observe(state, worker, &tasks, context);
         return;
@@ -397,6 +400,47 @@
     });
 }
 
+/// Tells all daemons of ended tasks while the log is out of reach. The planner may be gone and no
+/// successor can take over, so each share holder stops its members of these gangs itself.
+fn tell_all(
+    state: &DaemonState,
+    worker: &WorkerName,
+    tasks: &[TaskStatus],
+    context: &mut StepContext<'_>,
+) {
+    let reports = vec![WorkerTasks {
+        worker: worker.clone(),
+        tasks: tasks.to_vec(),
+    }];
+    for (daemon, entry) in &state.members.daemons {
+        context.push(ControlEffect::SendPeer {
+            to: daemon.clone(),
+            address: entry.info.address.clone(),
+            message: PeerMessage::Reports {
+                reports: reports.clone(),
+            },
+        });
+    }
+}
+
+/// Stops the members on workers of this daemon's share whose gang has lost a member.
+pub fn stop_partial_gangs(
+    state: &mut DaemonState,
+    tasks: &[TaskStatus],
+    context: &mut StepContext<'_>,
+) {
+    let unfinished = tasks.iter().filter(|status| {
+        !matches!(
+            status.phase,
+            TaskPhase::Ended {
+                end: TaskOutcome::Finished { .. }
+            }
+        )
+    });
+    let lost: Vec<TaskId> = unfinished.map(|status| status.task).collect();
+    stop_gangs(state, &lost, context);
+}
+
 /// Lets a worker forget ended tasks whose end is on record.
 fn forget_recorded(state: &mut DaemonState, worker: &WorkerName, context: &mut StepContext<'_>) {
     let Some(entry) = state.leases.entries.get(worker) else {
@@ -431,7 +475,7 @@
     tasks: &[TaskStatus],
     context: &mut StepContext<'_>,
 ) {
-    let started_before = context.at - TimeSpan(state.settings.timing.reservation.0 * START_PARTS);
+    let started_before = context.at - start_time(state);
     let (missing, recent): (Vec<TaskId>, Vec<TaskId>) = state
         .ledger
         .tasks_on(worker)
@@ -501,18 +545,25 @@
         // The planner can record the end of the attempt and stops the members itself.
         return;
     }
+    let lost: Vec<TaskId> = state.ledger.tasks_on(silent).collect();
+    stop_gangs(state, &lost, context);
+}
+
+/// Stops all members of the attempts that these tasks belong to, on workers of the share.
+fn stop_gangs(state: &mut DaemonState, lost: &[TaskId], context: &mut StepContext<'_>) {
     let mut stops: BTreeSet<(WorkerName, JobId, u32)> = BTreeSet::new();
-    for task in state.ledger.tasks_on(silent) {
+    for task in lost {
         let Some(record) = state.ledger.jobs.get(&task.job) else {
             continue;
         };
         let JobPhase::Placed { workers, .. } = &record.phase else {
             continue;
         };
-        for worker in workers.iter().filter(|worker| *worker != silent) {
-            if state.leases.entries.contains_key(worker) {
-                stops.insert((worker.clone(), task.job, task.attempt));
-            }
+        let mine = workers
+            .iter()
+            .filter(|worker| state.leases.entries.contains_key(*worker));
+        if record.attempt == task.attempt {
+            stops.extend(mine.map(|worker| (worker.clone(), task.job, task.attempt)));
         }
     }
     let term = state.ledger.term.number;
@@ -526,3 +577,22 @@
         call::send(state, &worker, command, CallPurpose::StopStale, context);
     }
 }
+
+/// Lists the tasks of the workers of a new placement once its starts are over, so that a member
+/// that never started is noticed even when the planner is gone.
+pub fn look_after_placement(state: &mut DaemonState, workers: &[WorkerName], at: ClockTime) {
+    let due = at + start_time(state);
+    for worker in workers {
+        if let Some(entry) = state.leases.entries.get_mut(worker) {
+            entry.revision = 0;
+            let due = due.min(entry.due);
+            state.leases.schedule(worker, due);
+        }
+    }
+}
+
+/// Returns the time after a placement in which its starts arrive or are refused.
+fn start_time(state: &DaemonState) -> TimeSpan {
+    let timing = &state.settings.timing;
+    timing.reservation + timing.call + timing.clock_margin
+}
--- a/core/src/plan.rs
+++ b/core/src/plan.rs
@@ -196,12 +196,12 @@
     let fence = state.planner.fences.entry(worker.clone()).or_default();
     fence.in_flight = false;
     if let CallOutcome::Reply {
-        reply: WorkerReply::Fenced { tasks, .. },
+        reply: WorkerReply::Fenced { tasks, uptime, .. },
     } = outcome
     {
         fence.confirmed = Some(term);
         state.planner.dirty = true;
-        recovery::recovered_worker(state, worker, tasks, context);
+        recovery::recovered_worker(state, worker, tasks, *uptime, context);
     }
 }
 
--- a/core/src/recovery.rs
+++ b/core/src/recovery.rs
@@ -14,6 +14,7 @@
 use crate::run::GangStage;
 use crate::run::MemberState;
 use crate::state::DaemonState;
+use crate::units::TimeSpan;
 use crate::worker::TaskStatus;
 
 /// Takes the complete list of tasks that a fenced worker has, for attempts found in the ledger.
@@ -21,11 +22,13 @@
     state: &mut DaemonState,
     worker: &WorkerName,
     tasks: &[TaskStatus],
+    uptime: TimeSpan,
     context: &mut StepContext<'_>,
 ) {
     let expected: Vec<TaskId> = state.ledger.tasks_on(worker).collect();
     let mut jobs = BTreeSet::new();
     for task in expected {
+        let started = !run::remembers(state, task.job, uptime, context.at);
         let Some(run) = state.planner.run_mut(&task) else {
             continue;
         };
@@ -35,7 +38,7 @@
         }
         match tasks.iter().find(|status| status.task == task) {
             Some(status) => run::take_status(run, index, status),
-            None => run.members[index] = MemberState::Settled { started: true },
+            None => run.members[index] = MemberState::Settled { started },
         }
         jobs.insert(task.job);
     }
--- a/core/src/reducer.rs
+++ b/core/src/reducer.rs
@@ -6,6 +6,7 @@
 use crate::domain;
 use crate::effect::ControlEffect;
 use crate::effect::PeerMessage;
+use crate::effect::WorkerTasks;
 use crate::event::ControlEvent;
 use crate::event::EventInput;
 use crate::gang;
@@ -87,6 +88,20 @@
     shutdown::tick(state, context);
 }
 
+fn take_reports(state: &mut DaemonState, reports: &[WorkerTasks], context: &mut StepContext<'_>) {
+    let fresh = state
+        .reader
+        .is_fresh(context.at, state.settings.timing.freshness);
+    for report in reports {
+        if term::is_planner(state, context.at) {
+            gang::observe(state, &report.worker, &report.tasks, context);
+        }
+        if !fresh {
+            lease::stop_partial_gangs(state, &report.tasks, context);
+        }
+    }
+}
+
 fn peer(
     state: &mut DaemonState,
     from: &DaemonName,
@@ -95,13 +110,7 @@
 ) {
     match message {
         PeerMessage::Heartbeat(heartbeat) => member::heartbeat(state, from, heartbeat, context),
-        PeerMessage::Reports { reports } => {
-            if term::is_planner(state, context.at) {
-                for report in reports {
-                    gang::observe(state, &report.worker, &report.tasks, context);
-                }
-            }
-        }
+        PeerMessage::Reports { reports } => take_reports(state, reports, context),
         PeerMessage::StateWanted => history::send_state(state, from, context),
         PeerMessage::State { ledger } => history::peer_state(state, ledger, context),
     }
--- a/core/src/request.rs
+++ b/core/src/request.rs
@@ -163,7 +163,9 @@
     head: &RequestHead,
     at: ClockTime,
 ) -> Result<ReadyHead, FailureReport> {
-    caller::check_ready(state)?;
+    if head.key.is_some() {
+        caller::check_key_table(state)?;
+    }
     let file = caller::authorize(state, credential, &head.team)?;
     let spec = file.services.get(&head.service).ok_or_else(|| {
         let detail = format!("team {} declares no service {}", head.team, head.service);
@@ -171,12 +173,14 @@
     })?;
     check_form(state, spec, head)?;
     if !spec.repeatable {
-        match intent::check(state, head)? {
+        match intent::check(state, head, at)? {
             KeyVerdict::Free => {}
             KeyVerdict::Known(answer) => return Ok(ReadyHead::Known(answer)),
         }
+        caller::check_key_absence(state, at)?;
         intent::check_log(state, at)?;
     }
+    caller::check_ready(state)?;
     let time_left = head
         .deadline
         .or(spec.deadline)
@@ -408,14 +412,14 @@
 
 /// Tells whether the writer of an intent may still answer its request.
 #[must_use]
-pub fn is_open_elsewhere(state: &DaemonState, writer: &WriterId) -> bool {
+pub fn is_open_elsewhere(state: &DaemonState, writer: &WriterId, at: ClockTime) -> bool {
     if writer == state.outbox.writer() {
         return true;
     }
-    let heartbeat = state
-        .members
-        .daemons
-        .get(&writer.daemon)
-        .and_then(|entry| entry.heartbeat.as_ref());
-    heartbeat.is_some_and(|heartbeat| heartbeat.incarnation == writer.incarnation)
+    let entry = state.members.daemons.get(&writer.daemon);
+    entry.is_some_and(|entry| {
+        let incarnation = entry.heartbeat.as_ref().map(|beat| beat.incarnation);
+        let silence = at.since(entry.heard_at);
+        incarnation == Some(writer.incarnation) && silence <= state.settings.timing.daemon_silence
+    })
 }
--- a/core/src/run.rs
+++ b/core/src/run.rs
@@ -2,8 +2,11 @@
 
 use std::collections::BTreeSet;
 
+use crate::ids::JobId;
 use crate::ids::WorkerName;
+use crate::ledger::JobPhase;
 use crate::record::AttemptEnd;
+use crate::state::DaemonState;
 use crate::units::ClockTime;
 use crate::units::TimeSpan;
 use crate::worker::TaskOutcome;
@@ -138,6 +141,18 @@
     }
 }
 
+/// Tells whether a worker has been up since before a placement, so that a member that it does not
+/// know never started.
+pub(crate) fn remembers(state: &DaemonState, job: JobId, uptime: TimeSpan, at: ClockTime) -> bool {
+    let record = state.ledger.jobs.get(&job);
+    match record.map(|record| &record.phase) {
+        Some(JobPhase::Placed { at: placed_at, .. }) => {
+            uptime > at.since(*placed_at) + state.settings.timing.clock_margin
+        }
+        _ => false,
+    }
+}
+
 impl MemberState {
     pub(crate) fn is_over(&self) -> bool {
         matches!(self, Self::Settled { .. } | Self::Ended { .. })
@@ -170,7 +185,12 @@
 }
 
 /// Takes what a worker says about its members of an attempt that it has stopped.
-pub(crate) fn settle_worker(run: &mut GangRun, worker: &WorkerName, tasks: &[TaskStatus]) {
+pub(crate) fn settle_worker(
+    run: &mut GangRun,
+    worker: &WorkerName,
+    tasks: &[TaskStatus],
+    remembers: bool,
+) {
     let indexes: Vec<usize> = run.members_on(worker).collect();
     for index in indexes {
         let attempt = run.attempt;
@@ -183,9 +203,10 @@
         match status {
             Some(status) => take_status(run, index, status),
             None => {
-                // The worker knows no start. A member that was seen running was lost with the
-                // worker's memory.
-                let started = run.members[index] == MemberState::Running;
+                // A worker that restarted after the placement has forgotten what it ran.
+                let member = &run.members[index];
+                let started =
+                    *member == MemberState::Running || (member.may_have_run() && !remembers);
                 run.members[index] = MemberState::Settled { started };
             }
         }
--- a/core/src/submission.rs
+++ b/core/src/submission.rs
@@ -58,7 +58,7 @@
     job: &JobRequest,
     at: ClockTime,
 ) -> Result<Submission, FailureReport> {
-    caller::check_ready(state)?;
+    caller::check_key_table(state)?;
     let file = caller::authorize(state, credential, &job.team)?;
     let spec = file.services.get(&job.service).ok_or_else(|| {
         let detail = format!("team {} declares no service {}", job.team, job.service);
@@ -68,7 +68,9 @@
     if let Some(known) = known_job(state, &order)? {
         return Ok(Submission::Known(known));
     }
-    check_admission(state, file, at)?;
+    caller::check_key_absence(state, at)?;
+    caller::check_ready(state)?;
+    check_admission(state, file)?;
     let workers: Vec<_> = state
         .members
         .workers
@@ -139,16 +141,8 @@
     })
 }
 
-pub(crate) fn check_admission(
-    state: &DaemonState,
-    file: &TeamFile,
-    at: ClockTime,
-) -> Result<(), FailureReport> {
+pub(crate) fn check_admission(state: &DaemonState, file: &TeamFile) -> Result<(), FailureReport> {
     let limits = &state.settings.limits;
-    if !state.reader.is_fresh(at, state.settings.timing.freshness) {
-        let detail = "the log has not answered; nothing was accepted";
-        return Err(FailureReport::new(ErrorKind::LogUnavailable, detail));
-    }
     let overloaded = |detail: &str| Err(FailureReport::new(ErrorKind::Overloaded, detail));
     if state.ledger.waiting_of(&file.team) >= file.limits.waiting_jobs as usize {
         return overloaded("the team has too many waiting jobs");
--- a/core/src/worker.rs
+++ b/core/src/worker.rs
@@ -207,6 +207,9 @@
             tasks: Vec<TaskStatus>,
             /// Whether the worker is about to stop.
             leaving: bool,
+            /// Time since the worker started. What it does not know may have run before that.
+            #[serde(default)]
+            uptime: TimeSpan,
         },
         /// The lease is renewed.
         Renewed {
@@ -223,8 +226,11 @@
         Done,
         /// The attempt is stopped.
         Stopped {
-            /// The attempt's tasks that had started on this worker; empty when none ever did.
+            /// The attempt's tasks that had started on this worker since it started itself.
             tasks: Vec<TaskStatus>,
+            /// Time since the worker started. What it does not know may have run before that.
+            #[serde(default)]
+            uptime: TimeSpan,
         },
         /// The command is refused and has changed nothing.
         Refused {
--- a/core/tests/requests/keys.rs
+++ b/core/tests/requests/keys.rs
@@ -8,6 +8,7 @@
 use mustardpath_core::event::EndpointOutcome;
 use mustardpath_core::event::EventInput;
 use mustardpath_core::kind::ErrorKind;
+use mustardpath_core::kind::RunStatus;
 use mustardpath_core::record::RecordBody;
 use mustardpath_core::record::RequestEnd;
 use mustardpath_core::units::TimeSpan;
@@ -160,13 +161,16 @@
     assert!(daemon.replies(caller).is_empty(), "it goes on");
 }
 
-/// Guards against an intent while the ledger may miss the key's first use.
+/// Guards against an intent while the ledger may miss the key's first use, and against a refusal
+/// as "not run" of a key that may have run through another daemon.
 #[test]
 fn a_log_that_is_not_fresh_refuses_intents() {
     let mut daemon = TestDaemon::new("d0", 3);
     daemon.advance_without_log(2_500);
     let caller = daemon.send(&head("tea", "book", Some("k1")));
-    assert_eq!(daemon.failure(caller), ErrorKind::LogUnavailable);
+    let kind = daemon.failure(caller);
+    assert_eq!(kind, ErrorKind::KeyUnverified);
+    assert_eq!(kind.answer().run, RunStatus::MayHaveRun);
     daemon.send(&head("tea", "check", None));
     assert_eq!(daemon.sent().len(), 1, "repeatable requests need no log");
 }
--- a/standin/src/worker.rs
+++ b/standin/src/worker.rs
@@ -47,6 +47,7 @@
 pub struct WorkerModel {
     pub(crate) info: WorkerInfo,
     pub(crate) boot: u64,
+    booted_at: ClockTime,
     pub(crate) fault: WorkerFault,
     pub(crate) leaving: bool,
     pub(crate) requests: IndexMap<(String, u32), ClockTime>,
@@ -69,6 +70,7 @@
         Self {
             info,
             boot,
+            booted_at: ClockTime(0),
             fault: WorkerFault::default(),
             leaving: false,
             requests: IndexMap::new(),
@@ -163,6 +165,7 @@
         });
         self.facts.extend(ended);
         self.boot += 1;
+        self.booted_at = at;
         self.term = TermNumber(0);
         self.lease_until = None;
         self.report_to = None;
@@ -268,6 +271,7 @@
         Ok(WorkerReply::Fenced {
             tasks: self.tasks(at),
             leaving: self.leaving,
+            uptime: at.since(self.booted_at),
         })
     }
 
@@ -380,6 +384,7 @@
         let of_attempt = started.iter().filter(|task| task.attempt == attempt);
         Ok(WorkerReply::Stopped {
             tasks: of_attempt.map(|task| self.tasks[task].status(at)).collect(),
+            uptime: at.since(self.booted_at),
         })
     }
 
--- a/standin/tests/models.rs
+++ b/standin/tests/models.rs
@@ -128,6 +128,7 @@
     let empty = WorkerReply::Fenced {
         tasks: vec![],
         leaving: false,
+        uptime: TimeSpan(20),
     };
     assert_eq!(reply, empty);
     let stale = WorkerRefusal::StaleTerm {
@@ -143,7 +144,13 @@
     // Guards against a delayed command that starts one member of a gang that was given up.
     let mut worker = leased_worker();
     let reply = worker.apply(ClockTime(10), &stop(1, 1, 1));
-    assert_eq!(reply, WorkerReply::Stopped { tasks: vec![] });
+    assert_eq!(
+        reply,
+        WorkerReply::Stopped {
+            tasks: vec![],
+            uptime: TimeSpan(10)
+        }
+    );
     let reply = worker.apply(ClockTime(20), &reserve(1, task(1, 1, 0)));
     assert_eq!(reply, refused(WorkerRefusal::NoReservation));
     let next = worker.apply(ClockTime(30), &reserve(1, task(1, 2, 0)));
@@ -154,12 +161,15 @@
 fn a_start_needs_a_live_reservation_and_a_live_lease() {
     // Guards against starts after the planner's reservation or the worker's lease has lapsed.
     let mut worker = WorkerModel::new(info("w1"), 1);
-    worker.apply(ClockTime(0), &reserve(1, task(1, 1, 0)));
-    let reply = worker.apply(ClockTime(1), &start(1, task(1, 1, 0)));
+    let reply = worker.apply(ClockTime(0), &reserve(1, task(1, 1, 0)));
     assert_eq!(reply, refused(WorkerRefusal::NoLease));
-    worker.apply(ClockTime(2), &renew());
+    worker.apply(ClockTime(0), &renew());
+    worker.apply(ClockTime(0), &reserve(1, task(1, 1, 0)));
     let reply = worker.apply(ClockTime(3_000), &start(1, task(1, 1, 0)));
     assert_eq!(reply, refused(WorkerRefusal::NoReservation));
+    worker.apply(ClockTime(44_000), &reserve(1, task(1, 2, 0)));
+    let reply = worker.apply(ClockTime(45_000), &start(1, task(1, 2, 0)));
+    assert_eq!(reply, refused(WorkerRefusal::NoLease));
 }
 
 #[test]
