Let the publishing tool know the largest worker

Cause: the tool checks demands against the larger of today's workers, so 48 cores passed for a deployment whose workers have 32.

Ruled out: asking the daemon, because `check` works without one; the daemon checks a change against its own workers anyway.

Conclusion: a team sees the mistake before the publication.

--- a/src/publish.rs
+++ b/src/publish.rs
@@ -18,6 +18,7 @@
 use mustardpath_core::collection::CheckBounds;
 use mustardpath_core::collection::SourceFile;
 use mustardpath_core::collection::check;
+use mustardpath_core::config::ResourceDemand;
 use mustardpath_core::config::TeamFile;
 use mustardpath_core::difference::ConfigDifference;
 use mustardpath_core::difference::difference;
@@ -64,6 +65,11 @@
     /// file that holds the operator key
     #[argh(option)]
     key_file: Option<PathBuf>,
+    /// what jobs get on the largest worker, as JSON such as
+    /// '{"slots":6,"accelerators":8,"cores":32,"memory_mib":122070}'; the default is 6 slots, 8
+    /// accelerators, 64 cores and 256 GiB
+    #[argh(option, from_str_fn(parse_worker))]
+    largest_worker: Option<ResourceDemand>,
 }
 
 /// Publishes the files against the version in force.
@@ -82,11 +88,20 @@
     /// file that holds the operator key
     #[argh(option)]
     key_file: Option<PathBuf>,
+    /// what jobs get on the largest worker, as JSON such as
+    /// '{"slots":6,"accelerators":8,"cores":32,"memory_mib":122070}'; the default is 6 slots, 8
+    /// accelerators, 64 cores and 256 GiB
+    #[argh(option, from_str_fn(parse_worker))]
+    largest_worker: Option<ResourceDemand>,
     /// remove teams that have no file without asking
     #[argh(switch)]
     yes: bool,
 }
 
+fn parse_worker(text: &str) -> Result<ResourceDemand, String> {
+    serde_json::from_str(text).map_err(|error| error.to_string())
+}
+
 #[derive(serde::Serialize)]
 struct ChangeBody<'c> {
     base: ConfigVersion,
@@ -116,7 +131,7 @@
 }
 
 fn run_check(args: &CheckArgs) -> Result<ExitStatus, ClientError> {
-    let wanted = read_files(&args.dir)?;
+    let wanted = read_files(&args.dir, args.largest_worker)?;
     println!("{} teams, no mistakes", wanted.len());
     if let Some(address) = args.daemon {
         let client = connect(address, args.key_file.as_deref())?;
@@ -127,7 +142,7 @@
 }
 
 fn run_apply(args: &ApplyArgs) -> Result<ExitStatus, ClientError> {
-    let wanted = read_files(&args.dir)?;
+    let wanted = read_files(&args.dir, args.largest_worker)?;
     let client = connect(args.daemon, args.key_file.as_deref())?;
     let in_force = client.config()?;
     let change = difference(&in_force.teams, &wanted);
@@ -145,13 +160,15 @@
     Ok(ExitStatus::Done)
 }
 
-fn read_files(dir: &Path) -> Result<TeamFiles, ClientError> {
+fn read_files(dir: &Path, worker: Option<ResourceDemand>) -> Result<TeamFiles, ClientError> {
+    let mut bounds = CheckBounds::default();
+    bounds.worker = worker.unwrap_or(bounds.worker);
     let files = tree::collect(dir).map_err(|lines| bad_input(&lines))?;
     let sources: Vec<_> = files
         .iter()
         .map(|(name, bytes)| SourceFile { name, bytes })
         .collect();
-    check(&sources, &CheckBounds::default()).map_err(|problems| {
+    check(&sources, &bounds).map_err(|problems| {
         let lines: Vec<_> = problems.iter().map(ToString::to_string).collect();
         bad_input(&lines)
     })
--- a/tests/publish.rs
+++ b/tests/publish.rs
@@ -109,6 +109,21 @@
     assert_eq!(publish(&["check", folder.text()]).status.code(), Some(2));
 }
 
+/// Guards against demands that pass the tool although no worker of the deployment could hold them.
+#[test]
+fn demands_are_checked_against_the_largest_worker() {
+    let folder = TestFolder::new("publish-worker");
+    let mut team = team("quay", 3);
+    team["services"]["berth-plan"]["demand"] = json!({ "cores": 48 });
+    folder.write("quay.mustardpath.json", &team.to_string());
+    assert_eq!(publish(&["check", folder.text()]).status.code(), Some(0));
+    let worker = r#"{"slots":6,"accelerators":8,"cores":32,"memory_mib":122070}"#;
+    let output = publish(&["check", folder.text(), "--largest-worker", worker]);
+    assert_eq!(output.status.code(), Some(2));
+    let message = "48 is above 32, what jobs get on the largest worker";
+    assert!(stderr(&output).contains(message), "{}", stderr(&output));
+}
+
 /// Guards against a folder named by mistake that removes all teams.
 #[test]
 fn removal_needs_consent_and_an_empty_folder_is_refused() {
