Show the progress of a drain and guarantees out of reach

Cause: domain status showed no estimate and team status showed 0 shapes suspended and 0 accelerators reclaimed, as fixed values, although the operations page tells the person on call to act on them.

Ruled out: the planner's memory for suspended shapes, because any daemon answers; each lays the guarantees out on the workers in service. What is being reclaimed is known to the planner alone.

Change: core/src/progress.rs. Preemptible work is expected to leave within the time to checkpoint, other work by its expected run time.

The accelerators being reclaimed have no test yet.

Conclusion: the columns of the operations page hold what they say, but for reclaiming at daemons that are not the planner.

--- a/core/src/domain.rs
+++ b/core/src/domain.rs
@@ -19,6 +19,7 @@
 use crate::ledger::VoidReason;
 use crate::member;
 use crate::outbox::RecordPurpose;
+use crate::progress;
 use crate::record::RecordBody;
 use crate::state::DaemonState;
 use crate::units::ClockTime;
@@ -347,7 +348,7 @@
         workers: u32::try_from(inside().count()).unwrap_or(u32::MAX),
         tasks: u32::try_from(tasks).unwrap_or(u32::MAX),
         unconfirmed: unconfirmed(state, &domain, out, at),
-        empty_in: None,
+        empty_in: progress::empty_in(state, &domain, at),
         domain,
     }
 }
--- a/core/src/dump.rs
+++ b/core/src/dump.rs
@@ -13,6 +13,7 @@
 use crate::ids::JobId;
 use crate::ledger::JobPhase;
 use crate::member;
+use crate::progress;
 use crate::run::GangRun;
 use crate::state::DaemonState;
 use crate::term;
@@ -50,6 +51,7 @@
 /// Returns the teams against their guarantees.
 #[must_use]
 pub fn teams(state: &DaemonState) -> Vec<TeamView> {
+    let suspended = progress::suspended_shapes(state);
     let mut views: Vec<TeamView> = state
         .ledger
         .config
@@ -63,6 +65,7 @@
         .map(|view| view.guaranteed.saturating_sub(view.used))
         .sum();
     for view in &mut views {
+        view.suspended_shapes = suspended.get(&view.team).copied().unwrap_or(0);
         // Borrowed accelerators are attributed to the teams with unused guarantees in proportion.
         let own = view.guaranteed.saturating_sub(view.used);
         view.lent = (borrowed.min(unused) * own)
@@ -91,7 +94,7 @@
         used,
         borrowed: used.saturating_sub(guaranteed),
         lent: 0,
-        reclaiming: 0,
+        reclaiming: progress::reclaiming(state, &file.team),
         waiting: u32::try_from(state.ledger.waiting_of(&file.team)).unwrap_or(u32::MAX),
         suspended_shapes: 0,
     }
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -46,6 +46,7 @@
 pub mod placement;
 pub mod plan;
 pub mod policy;
+pub mod progress;
 pub mod publication;
 pub mod queue;
 pub mod quota;
--- /dev/null
+++ b/core/src/progress.rs
@@ -0,0 +1,93 @@
+//! What operators wait for: a failure domain to empty, guarantees to be met and reclaimed.
+
+use indexmap::IndexMap;
+
+use crate::domain;
+use crate::fleet;
+use crate::fleet::FleetIndex;
+use crate::guarantee;
+use crate::ids::DomainName;
+use crate::ids::TeamName;
+use crate::ids::WorkerName;
+use crate::ledger::JobPhase;
+use crate::ledger::JobRecord;
+use crate::state::DaemonState;
+use crate::units::ClockTime;
+use crate::units::TimeSpan;
+
+/// Estimates the time until no task runs in a failure domain, or returns `None` while it is in
+/// service.
+///
+/// Work that can be preempted leaves within the time to checkpoint. Other work ends by its
+/// expected run time, which the planner corrects by what it observed.
+#[must_use]
+pub fn empty_in(state: &DaemonState, domain: &DomainName, at: ClockTime) -> Option<TimeSpan> {
+    if !domain::is_kept_out(state, domain) {
+        return None;
+    }
+    let placed = state.ledger.placed();
+    let inside = placed
+        .filter_map(|job| state.ledger.jobs.get(&job))
+        .filter_map(|record| placement(record).map(|(workers, since)| (record, workers, since)))
+        .filter(|(_, workers, _)| {
+            workers
+                .iter()
+                .any(|worker| stands_in(state, worker, domain))
+        });
+    let longest = inside
+        .map(|(record, _, since)| time_left(state, record, since, at))
+        .max();
+    Some(longest.unwrap_or_default())
+}
+
+fn placement(record: &JobRecord) -> Option<(&[WorkerName], ClockTime)> {
+    match &record.phase {
+        JobPhase::Placed { workers, at } => Some((workers, *at)),
+        JobPhase::Queued | JobPhase::Ended { .. } => None,
+    }
+}
+
+fn stands_in(state: &DaemonState, worker: &WorkerName, domain: &DomainName) -> bool {
+    let entry = state.members.workers.get(worker);
+    entry.is_some_and(|entry| entry.info.domain == *domain)
+}
+
+fn time_left(state: &DaemonState, record: &JobRecord, since: ClockTime, at: ClockTime) -> TimeSpan {
+    if record.order.spec.preemptible {
+        return state.settings.timing.reclaim;
+    }
+    let expected = state.planner.memory.estimates.expected(&record.order);
+    let done = record.checkpoint + at.since(since);
+    TimeSpan(expected.0.saturating_sub(done.0))
+}
+
+/// Returns the accelerators that are being reclaimed for a team. The planner alone knows them.
+#[must_use]
+pub fn reclaiming(state: &DaemonState, team: &TeamName) -> u32 {
+    let claims = state.planner.memory.claims.iter();
+    claims
+        .filter_map(|claim| state.ledger.jobs.get(&claim.job))
+        .filter(|record| record.order.team == *team)
+        .map(|record| record.order.spec.members * record.order.spec.demand.accelerators)
+        .sum()
+}
+
+/// Returns how many guaranteed shapes of each team the workers in service cannot hold.
+#[must_use]
+pub fn suspended_shapes(state: &DaemonState) -> IndexMap<TeamName, u32> {
+    let in_service: Vec<_> = state
+        .members
+        .workers
+        .values()
+        .filter(|entry| entry.is_staying() && !domain::is_kept_out(state, &entry.info.domain))
+        .map(|entry| &entry.info)
+        .collect();
+    let slots = fleet::idle_slots(&in_service, state.settings.limits.request_slots);
+    let index = FleetIndex::new(&slots);
+    let layout = guarantee::layout(&index, &state.ledger.config.teams, &[]);
+    let mut suspended = IndexMap::new();
+    for missing in layout.missing {
+        *suspended.entry(missing.team).or_insert(0) += missing.count;
+    }
+    suspended
+}
--- /dev/null
+++ b/tests/progress.rs
@@ -0,0 +1,131 @@
+//! What operators see of a drain and of guarantees that are out of reach.
+
+// The cells' scene has more than this test needs.
+#[allow(dead_code)]
+mod cells;
+
+use crate::cells::scene;
+use mustardpath_core::config::GuaranteedShape;
+use mustardpath_core::config::KeyDigest;
+use mustardpath_core::config::ResourceDemand;
+use mustardpath_core::effect::CallerAnswer;
+use mustardpath_core::effect::DomainView;
+use mustardpath_core::effect::TeamView;
+use mustardpath_core::event::CallerCommand;
+use mustardpath_core::event::CallerCredential;
+use mustardpath_core::event::JobRequest;
+use mustardpath_core::ids::ConfigVersion;
+use mustardpath_core::ledger::JobPhase;
+use mustardpath_core::units::TimeSpan;
+use mustardpath_standin::driver::SimDriver;
+
+/// Sends an operator's command and returns its answer.
+fn ask(driver: &mut SimDriver, command: CallerCommand) -> CallerAnswer {
+    let credential = CallerCredential {
+        digest: Some(KeyDigest::of("operator key")),
+    };
+    let caller = driver.send(0, credential, command, b"");
+    let is_answered = |driver: &SimDriver| driver.call(caller).answer.is_some();
+    assert!(
+        driver.run_until(TimeSpan::from_secs(10), is_answered),
+        "no answer"
+    );
+    let answer = driver.call(caller).answer.clone();
+    answer.expect("the answer is there").1
+}
+
+fn domain(driver: &mut SimDriver, name: &str) -> DomainView {
+    match ask(driver, CallerCommand::DomainStatus) {
+        CallerAnswer::Domains { domains } => domains
+            .into_iter()
+            .find(|view| view.domain.as_str() == name)
+            .expect("the failure domain is known"),
+        other => panic!("{other:?}"),
+    }
+}
+
+fn team(driver: &mut SimDriver) -> TeamView {
+    match ask(driver, CallerCommand::TeamStatus) {
+        CallerAnswer::Teams { teams } => teams.into_iter().next().expect("there is a team"),
+        other => panic!("{other:?}"),
+    }
+}
+
+/// Guards against a drain that shows no estimate, or one that does not follow the running work.
+#[test]
+fn a_drain_shows_the_time_until_it_is_empty() {
+    let mut driver = scene::start(false);
+    let submit = CallerCommand::Submit(JobRequest {
+        team: scene::TEAM.into(),
+        service: "once".into(),
+        key: "once-1".into(),
+        members: None,
+        run_time: None,
+        deadline: None,
+        payload: r#"{"run_ms": 8000}"#.into(),
+    });
+    assert!(matches!(ask(&mut driver, submit), CallerAnswer::Job(_)));
+    let is_placed = |driver: &SimDriver| driver.ledger().placed_count() == 1;
+    assert!(
+        driver.run_until(TimeSpan::from_secs(10), is_placed),
+        "not placed"
+    );
+    let job = driver.ledger().placed().next().expect("one job is placed");
+    let JobPhase::Placed { workers, .. } = &driver.ledger().jobs[&job].phase else {
+        panic!("the job is placed");
+    };
+    let state = driver.state(0).expect("the daemon is up");
+    let name = state.members.workers[&workers[0]].info.domain.to_string();
+
+    assert_eq!(domain(&mut driver, &name).empty_in, None);
+    scene::set_domain(&mut driver, &name, true);
+    driver.run_for(TimeSpan::from_secs(1));
+    let view = domain(&mut driver, &name);
+    assert_eq!(view.tasks, 1);
+    let left = view.empty_in.expect("an estimate").0;
+    assert!((4_000..8_000).contains(&left), "{left} ms of 8 s are left");
+    let is_empty = |driver: &SimDriver| driver.ledger().placed_count() == 0;
+    assert!(
+        driver.run_until(TimeSpan::from_secs(20), is_empty),
+        "not empty"
+    );
+    assert_eq!(domain(&mut driver, &name).empty_in, Some(TimeSpan(0)));
+}
+
+/// Guards against a guarantee that looks met while the workers in service cannot hold it.
+#[test]
+fn a_guarantee_out_of_reach_is_shown_as_suspended() {
+    let mut driver = scene::start(false);
+    let mut file = scene::team_file(2);
+    file.guarantees.push(GuaranteedShape {
+        workers: 6,
+        per_worker: ResourceDemand {
+            accelerators: 8,
+            ..ResourceDemand::one_slot()
+        },
+        same_rack: false,
+        count: 1,
+    });
+    let publish = CallerCommand::ConfigPublish {
+        base: ConfigVersion(1),
+        upsert: vec![file],
+        remove: Vec::new(),
+        operator: "linh".to_owned(),
+    };
+    let answer = ask(&mut driver, publish);
+    assert!(
+        matches!(answer, CallerAnswer::Published { .. }),
+        "{answer:?}"
+    );
+    assert_eq!(team(&mut driver).suspended_shapes, 0);
+    scene::set_domain(&mut driver, "sg-a", true);
+    driver.run_for(TimeSpan::from_secs(2));
+    assert_eq!(
+        team(&mut driver).suspended_shapes,
+        1,
+        "5 of 8 workers are in service"
+    );
+    scene::set_domain(&mut driver, "sg-a", false);
+    driver.run_for(TimeSpan::from_secs(2));
+    assert_eq!(team(&mut driver).suspended_shapes, 0);
+}
