--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -65,6 +65,13 @@
         // The control thread has ended already when the channel is closed.
         let _ = self.events.blocking_send(EventInput::Shutdown { level });
     }
+
+    /// Ends the control thread at once, as a second signal does.
+    pub fn end_now(&self) {
+        let level = ShutdownLevel::Now;
+        // The control thread has ended already when the channel is closed.
+        let _ = self.events.blocking_send(EventInput::Shutdown { level });
+    }
 }
 
 impl RunningDaemon {
--- a/src/standin_platform.rs
+++ b/src/standin_platform.rs
@@ -239,6 +239,11 @@
     Switch(PlatformSwitch),
     /// Tells the checker something.
     Note(OutcomeNote),
+    /// Asks how often short requests with each key have run.
+    Runs {
+        /// Takes the counts.
+        reply: Sender<HashMap<RequestKey, u32>>,
+    },
     /// Asks for the broken promises so far.
     Outcome {
         /// Takes the report and the number of started tasks.
@@ -439,6 +444,10 @@
             }
             PlatformCall::Switch(switch) => self.switch(at, switch),
             PlatformCall::Note(note) => self.note(at, note),
+            PlatformCall::Runs { reply } => {
+                let runs = self.checker.runs().iter();
+                let _ = reply.try_send(runs.map(|(key, count)| (key.clone(), *count)).collect());
+            }
             PlatformCall::Outcome { reply } => {
                 let report = self.checker.report(at);
                 let _ = reply.try_send((report, self.checker.starts()));
--- a/standin/src/checker.rs
+++ b/standin/src/checker.rs
@@ -238,6 +238,12 @@
         open.map(|(job, _)| *job).collect()
     }
 
+    /// Returns how often short requests with each key have run, on all workers together.
+    #[must_use]
+    pub const fn runs(&self) -> &IndexMap<RequestKey, u32> {
+        &self.runs
+    }
+
     /// Returns how many tasks have started.
     #[must_use]
     pub const fn starts(&self) -> usize {
