Add the load generator

Cause: nothing measured the path of short requests through real sockets. Change: mustardpath-load runs three daemons and twelve stand-in endpoints of two regions in one process, sends seeded Poisson arrivals in an open loop, counts latency from the intended send time, and switches one of 12 faults on and off. Latencies of unanswered requests are left out of the percentiles and counted instead.

--- /dev/null
+++ b/src/load.rs
@@ -0,0 +1,223 @@
+//! One run of the load generator.
+
+use std::io;
+use std::net::UdpSocket;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use argh::FromArgs;
+use serde_json::Value;
+use serde_json::json;
+
+use crate::load_cluster::LoadCluster;
+use crate::load_plan::LoadPlan;
+use crate::load_plan::LoadScenario;
+use crate::load_plan::SCENARIOS;
+use crate::load_report;
+use crate::load_tally;
+use crate::load_tally::LoadTally;
+use crate::load_tally::PHASES;
+use crate::load_tally::RequestOutcome;
+use crate::load_tally::SETTLING;
+use crate::load_traffic::CallerPool;
+
+/// Name of the counter of retries, as the daemons send it.
+const RETRIES_METRIC: &str = "mustardpath.retries:";
+
+/// Results that wait to be counted.
+const RESULTS: usize = 4_096;
+
+/// Time between two lines of progress.
+const PROGRESS: Duration = Duration::from_secs(5);
+
+/// Sends short requests at a fixed rate through three daemons and counts what becomes of them.
+#[derive(FromArgs)]
+pub struct LoadOptions {
+    /// print the scenarios, one a line
+    #[argh(switch)]
+    list: bool,
+    /// scenario to run
+    #[argh(option)]
+    scenario: Option<LoadScenario>,
+    /// print the figures as one line of JSON
+    #[argh(switch)]
+    json: bool,
+    /// seed of the arrivals
+    #[argh(option, default = "1")]
+    seed: u64,
+    /// requests a second
+    #[argh(option, default = "300.0")]
+    rate: f64,
+    /// length of each phase (before, during and after the fault) in seconds
+    #[argh(option, default = "15")]
+    phase_s: u64,
+    /// time that an endpoint works on a request, in ms
+    #[argh(option, default = "5")]
+    run_ms: u64,
+    /// file for a report in Markdown; its plot goes beside it
+    #[argh(option)]
+    report: Option<PathBuf>,
+}
+
+/// Carries out a command of the load generator.
+///
+/// # Errors
+///
+/// Returns the system's error, or what is wrong with the options.
+pub fn run(options: &LoadOptions) -> io::Result<()> {
+    if options.list {
+        for (name, _) in SCENARIOS {
+            println!("{name}");
+        }
+        return Ok(());
+    }
+    let scenario = options
+        .scenario
+        .ok_or_else(|| io::Error::other("--scenario or --list is needed"))?;
+    if options.rate <= 0.0 || options.phase_s == 0 {
+        return Err(io::Error::other("--rate and --phase-s must not be zero"));
+    }
+    let plan = LoadPlan {
+        scenario,
+        seed: options.seed,
+        rate: options.rate,
+        phase: Duration::from_secs(options.phase_s),
+        run_ms: options.run_ms,
+    };
+    let (tally, figures) = measure(&plan)?;
+    if let Some(path) = &options.report {
+        load_report::write(path, &plan, &tally, &figures.to_string())?;
+    }
+    if options.json {
+        println!("{figures}");
+    } else {
+        println!("{figures:#}");
+    }
+    Ok(())
+}
+
+/// Runs a scenario and returns what was measured.
+///
+/// # Errors
+///
+/// Returns the system's error when the deployment cannot be set up.
+pub fn measure(plan: &LoadPlan) -> io::Result<(LoadTally, Value)> {
+    let (metrics, retries) = count_retries()?;
+    let cluster = LoadCluster::start(metrics)?;
+    cluster.spawn_balancer()?;
+    eprintln!("load: {} is ready, seed {}", plan.scenario, plan.seed);
+    let (results, received) = crossbeam_channel::bounded(RESULTS);
+    let start = Instant::now();
+    let pool = CallerPool::start(&cluster, *plan, start, &results)?;
+    drop(results);
+    let collector = thread::spawn({
+        let mut tally = LoadTally::new(plan.phase);
+        let mut shown = Instant::now();
+        move || {
+            for result in received {
+                tally.add(result);
+                if shown.elapsed() >= PROGRESS {
+                    shown = Instant::now();
+                    eprintln!(
+                        "load: {} answered, {} refused, {} unknown, {} cut",
+                        tally.count(RequestOutcome::Answered),
+                        tally.count(RequestOutcome::NotRun),
+                        tally.count(RequestOutcome::Unknown),
+                        tally.count(RequestOutcome::Cut)
+                    );
+                }
+            }
+            tally
+        }
+    });
+    let faults = spawn_faults(&cluster, *plan, start)?;
+    let sent = pool.send_all(plan, start);
+    let panicked = |_| io::Error::other("a thread of the run panicked");
+    faults.join().map_err(panicked)??;
+    let tally = collector.join().map_err(panicked)?;
+    let figures = figures(
+        plan,
+        &tally,
+        &cluster,
+        sent,
+        retries.load(Ordering::Relaxed),
+    )?;
+    Ok((tally, figures))
+}
+
+fn spawn_faults(
+    cluster: &Arc<LoadCluster>,
+    plan: LoadPlan,
+    start: Instant,
+) -> io::Result<thread::JoinHandle<io::Result<()>>> {
+    let cluster = Arc::clone(cluster);
+    thread::Builder::new().name("faults".into()).spawn(move || {
+        thread::sleep((start + plan.phase).saturating_duration_since(Instant::now()));
+        eprintln!("load: {} on", plan.scenario);
+        cluster.fault_on(&plan)?;
+        thread::sleep((start + plan.phase * 2).saturating_duration_since(Instant::now()));
+        eprintln!("load: {} off", plan.scenario);
+        cluster.fault_off(&plan)
+    })
+}
+
+/// Takes the daemons' metrics and counts the retries. Returns the address for them.
+fn count_retries() -> io::Result<(String, Arc<AtomicU64>)> {
+    let socket = UdpSocket::bind("127.0.0.1:0")?;
+    let address = socket.local_addr()?.to_string();
+    let retries = Arc::new(AtomicU64::new(0));
+    let counter = Arc::clone(&retries);
+    thread::Builder::new()
+        .name("metrics".into())
+        .spawn(move || {
+            let mut buffer = [0; 2_048];
+            while let Ok(count) = socket.recv(&mut buffer) {
+                let text = String::from_utf8_lossy(&buffer[..count]);
+                for line in text.lines() {
+                    let value = line.strip_prefix(RETRIES_METRIC);
+                    let value = value.and_then(|rest| rest.split('|').next());
+                    let amount: u64 = value.and_then(|text| text.parse().ok()).unwrap_or(0);
+                    counter.fetch_add(amount, Ordering::Relaxed);
+                }
+            }
+        })?;
+    Ok((address, retries))
+}
+
+fn figures(
+    plan: &LoadPlan,
+    tally: &LoadTally,
+    cluster: &LoadCluster,
+    sent: usize,
+    retries: u64,
+) -> io::Result<Value> {
+    let runs = cluster.runs()?;
+    let phases = PHASES.iter().enumerate().map(|(index, name)| {
+        let whole = load_tally::latency_json(&tally.phase_latency(index, Duration::ZERO));
+        let settled = load_tally::latency_json(&tally.phase_latency(index, SETTLING));
+        let value = json!({ "latency_ms": whole, "settled_latency_ms": settled });
+        ((*name).to_owned(), value)
+    });
+    Ok(json!({
+        "scenario": plan.scenario.to_string(),
+        "seed": plan.seed,
+        "rate": plan.rate,
+        "sent": sent,
+        "answered": tally.count(RequestOutcome::Answered),
+        "refused_not_run": tally.count(RequestOutcome::NotRun),
+        "refused_but_run": tally.false_refusals(&runs),
+        "unknown": tally.count(RequestOutcome::Unknown),
+        "wrong": tally.count(RequestOutcome::Wrong),
+        "run_twice": tally.run_twice(&runs),
+        "cut": tally.count(RequestOutcome::Cut),
+        "latency_ms": load_tally::latency_json(&tally.latency(|_| true)),
+        "retries": retries,
+        "region_bytes": cluster.crossed_bytes(),
+        "phases": Value::Object(phases.collect()),
+    }))
+}
--- /dev/null
+++ b/src/load_report.rs
@@ -0,0 +1,135 @@
+//! The report of a load run: a page with figures and a plot beside it.
+
+use std::fmt::Write;
+use std::fs;
+use std::io;
+use std::path::Path;
+
+use plotters::chart::ChartBuilder;
+use plotters::drawing::IntoDrawingArea;
+use plotters::element::PathElement;
+use plotters::prelude::SVGBackend;
+use plotters::series::LineSeries;
+use plotters::style::BLACK;
+use plotters::style::BLUE;
+use plotters::style::Color;
+use plotters::style::GREEN;
+use plotters::style::RED;
+use plotters::style::RGBColor;
+use plotters::style::WHITE;
+
+use crate::load_plan::LoadClass;
+use crate::load_plan::LoadPlan;
+use crate::load_tally::ClassLatency;
+use crate::load_tally::LoadTally;
+use crate::load_tally::PHASES;
+use crate::load_tally::SETTLING;
+
+/// Size of the plot in pixels.
+const SIZE: (u32, u32) = (900, 420);
+
+/// Writes `FILE` in Markdown and the plot `FILE.svg`.
+///
+/// # Errors
+///
+/// Returns the system's error when a file cannot be written.
+pub fn write(path: &Path, plan: &LoadPlan, tally: &LoadTally, line: &str) -> io::Result<()> {
+    let plot = path.with_extension("svg");
+    fs::write(&plot, draw(plan, tally).map_err(io::Error::other)?)?;
+    let name = plot.file_name().unwrap_or_default().to_string_lossy();
+    let mut page = format!(
+        "# Load: {}\n\nSeed {}, {} requests a second, three phases of {} s.\n\n",
+        plan.scenario,
+        plan.seed,
+        plan.rate,
+        plan.phase.as_secs()
+    );
+    page.push_str("| phase | class | answers | p50 ms | p99 ms | p99.9 ms |\n");
+    page.push_str("| --- | --- | --- | --- | --- | --- |\n");
+    for (index, phase) in PHASES.iter().enumerate() {
+        add_rows(
+            &mut page,
+            phase,
+            &tally.phase_latency(index, std::time::Duration::ZERO),
+        );
+    }
+    add_rows(
+        &mut page,
+        "during, settled",
+        &tally.phase_latency(1, SETTLING),
+    );
+    // Writing to a string does not fail.
+    let _ = write!(page, "\n![p99 by second]({name})\n\n```json\n{line}\n```\n");
+    fs::write(path, page)
+}
+
+fn add_rows(page: &mut String, phase: &str, rows: &ClassLatency) {
+    for (class, row) in rows {
+        // Writing to a string does not fail.
+        let _ = writeln!(
+            page,
+            "| {phase} | {class} | {} | {:.2} | {:.2} | {:.2} |",
+            row.count, row.p50, row.p99, row.p999
+        );
+    }
+}
+
+fn color(class: LoadClass) -> RGBColor {
+    match class {
+        LoadClass::Check => BLUE,
+        LoadClass::Book => RED,
+        LoadClass::Direct => GREEN,
+    }
+}
+
+/// Returns the plot of the 99th percentile by second as SVG.
+fn draw(plan: &LoadPlan, tally: &LoadTally) -> Result<String, String> {
+    let series = tally.p99_by_second();
+    let points = series.iter().flat_map(|(_, points)| points);
+    let (right, top) = points.fold((1.0_f64, 1.0_f64), |(x, y), point| {
+        (x.max(point.0), y.max(point.1))
+    });
+    let mut text = String::new();
+    draw_chart(&mut text, plan, &series, (right, top * 1.1)).map_err(|error| error.to_string())?;
+    Ok(text)
+}
+
+type ClassSeries = (LoadClass, Vec<(f64, f64)>);
+
+fn draw_chart(
+    text: &mut String,
+    plan: &LoadPlan,
+    series: &[ClassSeries],
+    (right, top): (f64, f64),
+) -> Result<(), Box<dyn std::error::Error>> {
+    let area = SVGBackend::with_string(text, SIZE).into_drawing_area();
+    area.fill(&WHITE)?;
+    let mut chart = ChartBuilder::on(&area)
+        .caption(
+            format!("p99 by second: {}", plan.scenario),
+            ("sans-serif", 18),
+        )
+        .margin(12)
+        .x_label_area_size(36)
+        .y_label_area_size(56)
+        .build_cartesian_2d(0.0..right, 0.0..top)?;
+    chart.configure_mesh().x_desc("s").y_desc("ms").draw()?;
+    for phase in 1..PHASES.len() {
+        let at = plan.phase.as_secs_f64() * phase as f64;
+        chart.draw_series(LineSeries::new([(at, 0.0), (at, top)], BLACK.mix(0.4)))?;
+    }
+    for (class, points) in series {
+        let color = color(*class);
+        chart
+            .draw_series(LineSeries::new(points.iter().copied(), color))?
+            .label(class.name())
+            .legend(move |(x, y)| PathElement::new([(x, y), (x + 16, y)], color));
+    }
+    chart
+        .configure_series_labels()
+        .background_style(WHITE)
+        .border_style(BLACK)
+        .draw()?;
+    area.present()?;
+    Ok(())
+}
--- /dev/null
+++ b/tests/load.rs
@@ -0,0 +1,144 @@
+//! The load generator: its counts, its relays and a short run against real sockets.
+
+use std::collections::HashMap;
+use std::io::Read;
+use std::io::Write;
+use std::net::TcpListener;
+use std::net::TcpStream;
+use std::process::Command;
+use std::thread;
+use std::time::Duration;
+
+use serde_json::Value;
+
+use mustardpath::fault_link::LinkThread;
+use mustardpath::load_plan::LoadClass;
+use mustardpath::load_tally::LoadTally;
+use mustardpath::load_tally::RequestOutcome;
+use mustardpath::load_tally::RequestResult;
+
+fn result(number: u64, class: LoadClass, outcome: RequestOutcome) -> RequestResult {
+    RequestResult {
+        class,
+        key: format!("r{number}").as_str().into(),
+        due: Duration::from_millis(number * 100),
+        latency: Duration::from_millis(number),
+        outcome,
+    }
+}
+
+/// Guards against counts of broken promises that cannot rise, and against latencies of requests
+/// that were not answered.
+#[test]
+fn a_tally_counts_broken_promises() {
+    let mut tally = LoadTally::new(Duration::from_secs(5));
+    for number in 1..=100 {
+        tally.add(result(number, LoadClass::Check, RequestOutcome::Answered));
+    }
+    tally.add(result(101, LoadClass::Book, RequestOutcome::NotRun));
+    tally.add(result(102, LoadClass::Book, RequestOutcome::Unknown));
+    tally.add(result(103, LoadClass::Check, RequestOutcome::Answered));
+    let runs = ["r101", "r102", "r102", "r103", "r103"];
+    let mut counts = HashMap::new();
+    for key in runs {
+        *counts.entry(key.into()).or_insert(0) += 1;
+    }
+    assert_eq!(tally.false_refusals(&counts), 1, "r101");
+    assert_eq!(tally.run_twice(&counts), 1, "r102; r103 may be repeated");
+    let all = tally.latency(|_| true);
+    assert_eq!(all.keys().copied().collect::<Vec<_>>(), ["check"]);
+    assert!((all["check"].p50 - 51.0).abs() < 1.1, "{all:?}");
+    let early = tally.phase_latency(0, Duration::from_secs(4));
+    assert_eq!(early["check"].count, 10, "due from 4.0 s to 4.9 s");
+}
+
+fn echo_server() -> TcpListener {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
+    let clone = listener.try_clone().expect("the socket can be shared");
+    thread::spawn(move || {
+        for stream in clone.incoming().flatten() {
+            thread::spawn(move || {
+                let mut reader = stream.try_clone().expect("the socket can be shared");
+                let mut writer = stream;
+                std::io::copy(&mut reader, &mut writer)
+            });
+        }
+    });
+    listener
+}
+
+/// Sends bytes and returns what comes back within `wait`, or `None` when nothing does.
+fn echo(stream: &mut TcpStream, wait: Duration) -> Option<Vec<u8>> {
+    stream.set_read_timeout(Some(wait)).ok()?;
+    stream.write_all(b"ping").ok()?;
+    let mut buffer = [0; 4];
+    stream.read_exact(&mut buffer).ok()?;
+    Some(buffer.to_vec())
+}
+
+/// Far above any delay of a busy machine, so that a working relay never fails the test.
+const ALIVE: Duration = Duration::from_secs(20);
+
+/// Only a silent connection waits this long.
+const SILENT: Duration = Duration::from_millis(300);
+
+/// Guards against a fault that is reported as on while traffic passes.
+#[test]
+fn a_link_fails_as_switched() {
+    let server = echo_server();
+    let links = LinkThread::start().expect("the thread starts");
+    let target = server.local_addr().expect("the server listens");
+    let link = links.open(target, None).expect("the relay starts");
+    let mut old = TcpStream::connect(link.address).expect("the relay accepts");
+    assert!(echo(&mut old, ALIVE).is_some());
+    link.change(|state| state.epoch += 1);
+    assert_eq!(echo(&mut old, SILENT), None, "open connections are silent");
+    let mut new = TcpStream::connect(link.address).expect("the relay accepts");
+    assert!(echo(&mut new, ALIVE).is_some(), "new connections work");
+    link.change(|state| state.down = true);
+    assert_eq!(echo(&mut new, ALIVE), None, "connections are closed");
+    link.change(|state| state.down = false);
+    let again = (0..500).find_map(|_| {
+        thread::sleep(Duration::from_millis(20));
+        TcpStream::connect(link.address).ok()
+    });
+    assert!(again.is_some_and(|mut stream| echo(&mut stream, ALIVE).is_some()));
+}
+
+/// Guards against requests that no outcome accounts for, against broken promises, and against a
+/// last line that a script cannot read.
+#[test]
+fn a_short_run_accounts_for_each_request() {
+    let output = Command::new(env!("CARGO_BIN_EXE_mustardpath-load"))
+        .args(["--scenario", "daemon-stopped", "--json"])
+        .args(["--rate", "40", "--phase-s", "2", "--seed", "3"])
+        .output()
+        .expect("the program starts");
+    let text = String::from_utf8_lossy(&output.stdout);
+    let line = text.lines().last().unwrap_or_default();
+    let figures: Value = serde_json::from_str(line).expect("the last line is JSON");
+    let count = |field: &str| figures[field].as_u64().expect(field);
+    let ends = ["answered", "refused_not_run", "unknown", "wrong", "cut"];
+    assert_eq!(ends.map(count).iter().sum::<u64>(), count("sent"));
+    assert!(count("answered") > 0, "{line}");
+    for promise in ["refused_but_run", "wrong", "run_twice"] {
+        assert_eq!(count(promise), 0, "{line}");
+    }
+}
+
+/// Guards against a scenario that the list leaves out.
+#[test]
+fn the_list_names_scenarios_that_run() {
+    let program = env!("CARGO_BIN_EXE_mustardpath-load");
+    let output = Command::new(program)
+        .arg("--list")
+        .output()
+        .expect("it starts");
+    let text = String::from_utf8_lossy(&output.stdout);
+    let names: Vec<&str> = text.lines().collect();
+    assert_eq!(names.len(), 12);
+    for name in names {
+        let parsed: Result<mustardpath::load_plan::LoadScenario, _> = name.parse();
+        assert_eq!(parsed.map(|scenario| scenario.to_string()), Ok(name.into()));
+    }
+}
