--- a/src/load_traffic.rs
+++ b/src/load_traffic.rs
@@ -75,11 +75,14 @@
         results: &Sender<RequestResult>,
     ) -> io::Result<Self> {
         let (arrivals, received) = crossbeam_channel::bounded(ARRIVALS);
+        // A worker takes 64 connections, fewer than there are threads.
+        let direct = HttpClient::new(ANSWER_BYTES);
         let mut threads = Vec::new();
         for number in 0..CALLERS {
             let caller = CallerThread {
                 cluster: Arc::clone(cluster),
                 client: HttpClient::new(ANSWER_BYTES),
+                direct: direct.clone(),
                 run_ms: plan.run_ms,
                 start,
             };
@@ -145,6 +148,7 @@
 struct CallerThread {
     cluster: Arc<LoadCluster>,
     client: HttpClient,
+    direct: HttpClient,
     run_ms: u64,
     start: Instant,
 }
@@ -182,7 +186,15 @@
                 }
             };
             match reply {
-                Ok(reply) => return judge(&reply, body),
+                Ok(reply) => {
+                    let outcome = judge(&reply, body);
+                    if outcome == RequestOutcome::Wrong {
+                        let (class, status) = (arrival.class.name(), reply.status);
+                        let length = reply.body.len();
+                        eprintln!("load: {key} ({class}): wrong, status {status}, {length} bytes");
+                    }
+                    return outcome;
+                }
                 Err(CallError::Unknown(_)) => return RequestOutcome::Cut,
                 Err(CallError::Undelivered(_)) => {}
             }
@@ -228,7 +240,7 @@
             ),
             (outbound::KEY_HEADER, key.to_owned()),
         ];
-        self.client.call(&HttpCall {
+        self.direct.call(&HttpCall {
             address: &self.cluster.endpoint(arrival.number),
             path: "/requests/check",
             headers: &headers,
@@ -238,8 +250,12 @@
     }
 }
 
-/// Returns what an answer means to its caller.
+/// Returns what an answer means to its caller. An endpoint that is called directly refuses with a
+/// header.
 fn judge(reply: &HttpReply, body: &[u8]) -> RequestOutcome {
+    if reply.header(outbound::RUN_HEADER) == Some(outbound::NOT_RUN) {
+        return RequestOutcome::NotRun;
+    }
     let is_problem = reply
         .header("Content-Type")
         .is_some_and(|media| media.starts_with("application/problem+json"));
