--- a/core/src/ending.rs
+++ b/core/src/ending.rs
@@ -3,6 +3,7 @@
 use crate::call;
 use crate::call::CallPurpose;
 use crate::context::StepContext;
+use crate::effect::LogPart;
 use crate::effect::MetricName;
 use crate::event::CallOutcome;
 use crate::ids::JobId;
@@ -78,6 +79,12 @@
     outcome: &CallOutcome,
     context: &mut StepContext<'_>,
 ) {
+    let remembers = match outcome {
+        CallOutcome::Reply {
+            reply: WorkerReply::Stopped { uptime, .. },
+        } => run::remembers(state, job, *uptime, context.at),
+        _ => false,
+    };
     let Some(run) = state.planner.runs.get_mut(&job) else {
         return;
     };
@@ -86,9 +93,9 @@
     }
     match outcome {
         CallOutcome::Reply {
-            reply: WorkerReply::Stopped { tasks },
+            reply: WorkerReply::Stopped { tasks, .. },
         } => {
-            run::settle_worker(run, worker, tasks);
+            run::settle_worker(run, worker, tasks, remembers || !run.recorded);
             close_when_stopped(state, job, context);
         }
         CallOutcome::Reply {
@@ -97,7 +104,7 @@
                     refusal: WorkerRefusal::UnknownTask,
                 },
         } => {
-            run::settle_worker(run, worker, &[]);
+            run::settle_worker(run, worker, &[], !run.recorded);
             close_when_stopped(state, job, context);
         }
         _ => {}
@@ -147,6 +154,10 @@
     if end == AttemptEnd::Preempted {
         context.count(MetricName::AttemptsPreempted, 1);
     }
+    if !matches!(end, AttemptEnd::Finished { .. }) {
+        let line = format!("job {job} attempt {attempt} ends: {end:?}");
+        context.info(LogPart::Gang, line);
+    }
     let term = state.ledger.term.number;
     let body = RecordBody::AttemptEnded {
         term,
