Let short work displace long borrowed work

Change: a waiting job may stop borrowed work that has run for 10 min and would go on for at least twice as long as the job takes. Jobs whose deadline is at stake go by slack, other deadline jobs and fair shares by age in units of the job's own work. With moves left, small work makes room for the largest guaranteed shape. Baselines no longer check for jobs that can never run, which are refused at submission: that check cost most of their decisions.

--- a/core/src/baseline.rs
+++ b/core/src/baseline.rs
@@ -4,7 +4,6 @@
 use std::collections::HashSet;
 
 use crate::fleet::FleetIndex;
-use crate::guarantee::can_ever_run;
 use crate::placement::GangShape;
 use crate::placement::PlacementStyle;
 use crate::placement::occupy;
@@ -28,8 +27,8 @@
 
 /// Places each job that fits, in order, on the first workers that hold it.
 ///
-/// Nothing is reserved, reclaimed or moved. Jobs that no empty fleet holds are refused, because
-/// they would wait for ever.
+/// Nothing is reserved, reclaimed, moved or refused. Jobs that can never run are refused at their
+/// submission, whatever the policy.
 pub fn decide(view: &PolicyView<'_>, memory: &mut PolicyMemory) -> Vec<PolicyDecision> {
     let fleet = FleetIndex::new(view.workers);
     let mut room = fleet.free_room();
@@ -49,23 +48,9 @@
             });
             continue;
         }
-        let mut order = job.order.clone();
-        order.spec.preemptible = true;
-        order.spec.repeatable = true;
-        let fresh = too_large.insert(shape);
-        match fresh.then(|| can_ever_run(&order, view.workers, view.teams)) {
-            Some(Err(reason)) => {
-                too_large.remove(&shape);
-                decisions.push(PolicyDecision::Refuse {
-                    job: job.job,
-                    reason,
-                });
-            }
-            _ => {
-                let reason = "no free workers hold the gang".to_string();
-                memory.reasons.insert(job.job, vec![reason]);
-            }
-        }
+        too_large.insert(shape);
+        let reason = "no free workers hold the gang".to_string();
+        memory.reasons.insert(job.job, vec![reason]);
     }
     decisions
 }
--- a/core/src/draft.rs
+++ b/core/src/draft.rs
@@ -56,6 +56,7 @@
     pub(crate) most_accelerators: u32,
     no_room: HashSet<FitKey<'a>>,
     no_claim: HashSet<(GangShape, &'a TeamName, bool)>,
+    pub(crate) no_displacement: HashSet<(GangShape, &'a TeamName, bool)>,
     pub(crate) digest: u64,
     pub(crate) checks: usize,
 }
@@ -118,6 +119,7 @@
             reserved: Vec::new(),
             no_room: HashSet::new(),
             no_claim: HashSet::new(),
+            no_displacement: HashSet::new(),
             digest,
             checks: 0,
         }
@@ -394,7 +396,7 @@
                 continue;
             }
             let order = self.view.waiting[position].order;
-            if self.try_place(position) || self.claim(position) {
+            if self.try_place(position) || self.claim(position) || self.displace(position) {
                 let share = self.accounts.dominant_share(&whole_demand(order));
                 queue.charge(&order.team, share);
             } else if !self.refuse(position) {
--- a/core/src/guarantee.rs
+++ b/core/src/guarantee.rs
@@ -82,7 +82,9 @@
     whole
 }
 
-const fn gang_shape(shape: &GuaranteedShape) -> GangShape {
+/// Returns a guaranteed shape as a gang that could run on it.
+#[must_use]
+pub const fn gang_shape(shape: &GuaranteedShape) -> GangShape {
     GangShape {
         members: shape.workers,
         demand: shape.per_worker,
--- a/core/src/queue.rs
+++ b/core/src/queue.rs
@@ -33,6 +33,11 @@
 /// Wait after which a job without a deadline is ordered like one whose deadline is now.
 pub const LONGEST_WAIT: TimeSpan = TimeSpan::from_secs(12 * 3_600);
 
+/// Slack below which a deadline is at stake.
+const PRESSING_SLACK: TimeSpan = TimeSpan::from_secs(3_600);
+/// Age that a job starts with, so that the smallest of several new jobs is first.
+const AGE_AT_START: TimeSpan = TimeSpan::from_secs(60);
+
 plain_data! {
     /// Decayed use of capacity by each team.
     #[derive(Default)]
@@ -233,17 +238,30 @@
     i128::from((job.accepted_at + limit).0) - i128::from(at.0) - i128::from(left)
 }
 
-/// Returns the age of a job in units of its own estimated run time, in per mille.
+/// Returns the age of a job in units of its own estimated work, in millionths.
 ///
-/// Age alone lets a job of minutes wait as long as one of hours. Measured in its own run time, a
-/// short job gets old sooner and a long one still does.
+/// Age alone lets a job of minutes wait as long as one of hours. Measured in its own work, a
+/// small job gets old sooner and a large one still does.
 fn relative_age(job: &WaitingJob<'_>, at: ClockTime, estimates: &EstimateTable) -> u64 {
-    let age = at.since(job.accepted_at).0;
+    let spec = &job.order.spec;
+    let age = at.since(job.accepted_at) + AGE_AT_START;
     let left = estimates
         .expected(job.order)
         .0
         .saturating_sub(job.checkpoint.0);
-    (age + 1_000).saturating_mul(1_000) / left.max(1_000)
+    let size = u64::from(spec.members) * u64::from(spec.demand.accelerators.max(1));
+    age.0.saturating_mul(WHOLE_SHARE) / left.max(1_000).saturating_mul(size)
+}
+
+/// Returns the place of a job among those with a deadline, the first one lowest.
+///
+/// Jobs whose deadline is at stake go by slack. The others, with time to spare or past saving,
+/// go by age, because their order changes no deadline.
+fn deadline_rank(job: &WaitingJob<'_>, at: ClockTime, estimates: &EstimateTable) -> (bool, i128) {
+    let slack = slack(job, at, estimates);
+    let pressing = (0..i128::from(PRESSING_SLACK.0)).contains(&slack);
+    let age = i128::from(relative_age(job, at, estimates));
+    (!pressing, if pressing { slack } else { -age })
 }
 
 impl<'a> QueueOrder<'a> {
@@ -265,7 +283,7 @@
                 claims.add(job.order);
                 urgent.push(position);
             } else if spec.deadline.is_some() || view.at.since(job.accepted_at) > LONGEST_WAIT {
-                timed.push((slack(job, view.at, estimates), position));
+                timed.push((deadline_rank(job, view.at, estimates), position));
             } else {
                 shared.entry(&job.order.team).or_default().push(position);
             }
--- a/core/src/reclaim.rs
+++ b/core/src/reclaim.rs
@@ -3,12 +3,14 @@
 use std::collections::HashMap;
 
 use crate::config::ResourceDemand;
+use crate::draft::DecisionDraft;
 use crate::fleet::FleetIndex;
 use crate::placement::GangShape;
 use crate::placement::ReleasedWork;
 use crate::placement::place_after;
 use crate::policy::RunningJob;
 use crate::units::ClockTime;
+use crate::units::TimeSpan;
 
 /// Running work that can be stopped, with what stopping it loses.
 #[derive(Clone, Debug)]
@@ -110,3 +112,43 @@
         })
     })
 }
+
+/// Time that borrowed work runs before a shorter job may displace it, so that its stops cost
+/// little against what it gets done.
+const LEAST_RUN: TimeSpan = TimeSpan::from_secs(600);
+/// How many times longer than the shorter job the displaced work would go on.
+const DISPLACED_FACTOR: u64 = 2;
+
+impl DecisionDraft<'_, '_> {
+    /// Stops borrowed work that would go on for much longer than a waiting job takes.
+    ///
+    /// Victims keep their progress and wait for less time than the job would have. Work with a
+    /// deadline is no victim.
+    pub(crate) fn displace(&mut self, position: usize) -> bool {
+        let job = &self.view.waiting[position];
+        let order = job.order;
+        let key = (
+            GangShape::of(&order.spec),
+            &order.team,
+            order.spec.can_stop(),
+        );
+        if self.no_displacement.contains(&key) {
+            return false;
+        }
+        let at = self.view.at;
+        let expected = self.memory.estimates.expected(order);
+        let own = expected.0.saturating_sub(job.checkpoint.0);
+        let longer = self.candidates(|draft, running| {
+            let victim = &draft.view.running[running];
+            let end = draft.memory.estimates.expected_end(victim, at);
+            let ran = at.since(victim.placed_at);
+            let left = end.since(at).0 / DISPLACED_FACTOR;
+            victim.order.spec.deadline.is_none() && ran >= LEAST_RUN && left >= own
+        });
+        if !longer.is_empty() && self.claim_from(position, &longer, None) {
+            return true;
+        }
+        self.no_displacement.insert(key);
+        false
+    }
+}
--- a/core/src/relocate.rs
+++ b/core/src/relocate.rs
@@ -1,6 +1,9 @@
 //! Moves of running work: to make room for a large job, and out of failure domains.
 
+use crate::config::ResourceDemand;
 use crate::draft::DecisionDraft;
+use crate::fleet::NO_ROOM;
+use crate::guarantee::gang_shape;
 use crate::placement::GangShape;
 use crate::placement::PlacementStyle;
 use crate::placement::occupy;
@@ -10,6 +13,7 @@
 use crate::reclaim::ReclaimPlan;
 use crate::reclaim::choose_victims;
 use crate::reclaim::work_lost;
+use crate::units::ClockTime;
 use crate::units::TimeSpan;
 
 /// Time over which moves are counted.
@@ -20,55 +24,81 @@
 const LEAVING_LIMIT: usize = 16;
 
 impl DecisionDraft<'_, '_> {
-    /// Moves small work aside when that lets the job with the reservation start at once.
+    /// Moves small work aside when that lets the job with the reservation start at once, or else
+    /// when it makes room for the largest guaranteed shape.
     pub(crate) fn make_room(&mut self) {
         let at = self.view.at;
-        self.memory
-            .moves
-            .retain(|moved| at.since(*moved) < MOVE_WINDOW);
+        let recent = |moved: &ClockTime| at.since(*moved) < MOVE_WINDOW;
+        self.memory.moves.retain(recent);
         let budget = self.view.moves_per_hour as usize;
         let left = budget.saturating_sub(self.memory.moves.len());
-        let Some(reservation) = self.memory.reservation.as_ref() else {
+        if left == 0 || !self.leaving.is_empty() {
+            return;
+        }
+        let reservation = self.memory.reservation.as_ref();
+        let Some(reservation) = reservation else {
+            self.make_room_for_guarantee(left);
             return;
         };
-        if left == 0 || reservation.start <= at + WORTH_MOVING {
+        let (holder, start) = (reservation.job, reservation.start);
+        let waiting = self.view.waiting.iter().position(|job| job.job == holder);
+        let Some(position) = waiting.filter(|_| start > at + WORTH_MOVING) else {
             return;
+        };
+        let order = self.view.waiting[position].order;
+        let cap = self.room_cap(order);
+        let shape = GangShape::of(&order.spec);
+        if let Some(plan) = self.plan_moves(&shape, cap.as_deref(), left) {
+            self.move_away(&plan);
+            self.hold(position, &plan.workers);
+            self.memory.reservation = None;
         }
-        let holder = reservation.job;
-        let waiting = self.view.waiting.iter().position(|job| job.job == holder);
-        let Some(position) = waiting else { return };
-        let Some(plan) = self.plan_moves(position, left) else {
+    }
+
+    fn make_room_for_guarantee(&mut self, limit: usize) {
+        let shapes = self.view.teams.values().flat_map(|file| &file.guarantees);
+        let size = |shape: &GangShape| shape.members * shape.demand.accelerators;
+        let Some(shape) = shapes.map(gang_shape).max_by_key(size) else {
             return;
         };
+        if place(&shape, &self.fleet, &self.free, PlacementStyle::BestFit).is_some() {
+            return;
+        }
+        if let Some(plan) = self.plan_moves(&shape, None, limit) {
+            self.move_away(&plan);
+        }
+    }
+
+    fn move_away(&mut self, plan: &ReclaimPlan) {
         for victim in &plan.victims {
-            self.memory.moves.push(at);
+            self.memory.moves.push(self.view.at);
             self.leaving.insert(*victim);
             self.decisions.push(PolicyDecision::Move {
                 job: self.view.running[*victim].job,
             });
         }
-        self.hold(position, &plan.workers);
-        self.memory.reservation = None;
     }
 
-    fn plan_moves(&self, position: usize, limit: usize) -> Option<ReclaimPlan> {
-        let job = &self.view.waiting[position];
-        let shape = GangShape::of(&job.order.spec);
-        let whole = whole_demand(job.order);
+    /// Finds work that stands in the way of a shape and that finds room beside it.
+    fn plan_moves(
+        &self,
+        shape: &GangShape,
+        cap: Option<&[ResourceDemand]>,
+        limit: usize,
+    ) -> Option<ReclaimPlan> {
+        let whole = shape.members * shape.demand.accelerators;
         let free: u32 = self.free.iter().map(|room| room.accelerators).sum();
-        if free < whole.accelerators {
+        if free < whole {
             return None;
         }
         let small = self.stoppable(|draft, running| {
             let order = draft.view.running[running].order;
-            whole_demand(order).accelerators * 4 <= whole.accelerators
+            whole_demand(order).accelerators * 2 <= whole
         });
-        let cap = self.room_cap(job.order);
-        let plan = choose_victims(&shape, &self.fleet, &self.free, &small, cap.as_deref())?;
+        let plan = choose_victims(shape, &self.fleet, &self.free, &small, cap)?;
         let mut room = self.free.clone();
-        occupy(&mut room, &plan.workers, &shape.demand);
         for worker in &plan.workers {
-            room[*worker] = crate::fleet::NO_ROOM;
+            room[*worker] = NO_ROOM;
         }
         let fits = plan.victims.iter().all(|victim| {
             let shape = GangShape::of(&self.view.running[*victim].order.spec);
--- a/core/tests/policy_queue.rs
+++ b/core/tests/policy_queue.rs
@@ -268,3 +268,44 @@
     scene.kind = PolicyKind::StrictPriority;
     assert_eq!(placed(&scene.decide()), [high]);
 }
+
+/// Guards against a short job that waits for hours behind borrowed work, against stops of work
+/// that has just begun, and against stops within a guarantee.
+#[test]
+fn short_work_displaces_long_borrowed_work() {
+    let mut scene = Scene::new(2, &[team("a", &[(1, false, 1)]), team("b", &[])]);
+    scene.run("a", minutes(spec(1, 8), 300), &[0]);
+    let long = scene.run("b", minutes(spec(1, 8), 300), &[1]);
+    let longer = scene.submit("b", minutes(spec(1, 8), 200));
+    scene.at += 9 * MINUTE;
+    let short = scene.submit("b", minutes(spec(1, 8), 20));
+    assert_eq!(scene.step(), [], "the work has just begun");
+    scene.at += 2 * MINUTE;
+    let expected = PolicyDecision::Reclaim {
+        victim: long,
+        claimant: short,
+    };
+    assert_eq!(scene.step(), [expected]);
+    scene.at += 100;
+    scene.step();
+    assert!(scene.runs(short));
+    assert!(!scene.runs(longer));
+}
+
+/// Guards against a whole rack's worth of free workers that no guaranteed shape fits on.
+#[test]
+fn moves_work_for_the_largest_guaranteed_shape() {
+    let mut scene = Scene::new(8, &[team("a", &[(4, true, 1)]), team("b", &[])]);
+    scene.run("b", spec(1, 1), &[0]);
+    scene.run("b", spec(1, 1), &[1]);
+    scene.run("b", fixed(spec(1, 1)), &[4]);
+    let decisions = scene.step();
+    let moves = decisions
+        .iter()
+        .filter(|one| matches!(one, PolicyDecision::Move { .. }));
+    assert_eq!(moves.count(), 2, "{decisions:?}");
+    scene.at += 100;
+    scene.step();
+    let rack = |number: usize| &scene.workers[&fixture::worker(number)];
+    assert!((0..4).all(|number| rack(number).free == rack(number).offered));
+}
