Replay traces under all policies

Cause: nothing measured what the policies do to completion times, fragmentation and work during failure domain changes.

Ruled out: a trace format with the accelerators in each job. A job of a daemon takes its demand from its service, so a service's name ends with the accelerators of a member.

Change: mustardpath-replay lists, writes and compares traces.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod exchange;
 pub mod exit;
 pub mod gate;
+pub mod generator;
 pub mod http_client;
 pub mod job_command;
 pub mod local_cluster;
@@ -24,6 +25,7 @@
 pub mod local_run;
 pub mod log_client;
 pub mod logs;
+pub mod measure;
 pub mod metrics;
 pub mod outbound;
 pub mod peer_message;
@@ -31,16 +33,21 @@
 pub mod peers;
 pub mod problem;
 pub mod publish;
+pub mod replay;
+mod replay_state;
 pub mod route_table;
 pub mod settings_file;
 pub mod signals;
+pub mod simulation;
 pub mod standin_http;
 pub mod standin_log;
 pub mod standin_platform;
 pub mod standin_vms;
 pub mod standin_worker;
 pub mod table;
+pub mod trace;
 pub mod tree;
+pub mod workload;
 
 // Generated from `schema/peer.capnp`; the generated code names itself by this path.
 #[allow(missing_docs, clippy::all, clippy::pedantic, rustdoc::all)]
--- /dev/null
+++ b/src/replay_state.rs
@@ -0,0 +1,231 @@
+//! The modelled workers and jobs of one replay.
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+
+use indexmap::IndexMap;
+
+use crate::measure::ReplayMeasure;
+use mustardpath_core::config::TeamFile;
+use mustardpath_core::fleet::FleetIndex;
+use mustardpath_core::guarantee::PinnedTask;
+use mustardpath_core::guarantee::layout;
+use mustardpath_core::ids::JobId;
+use mustardpath_core::ids::TeamName;
+use mustardpath_core::ids::WorkerName;
+use mustardpath_core::placement::GangShape;
+use mustardpath_core::policy::EndObservation;
+use mustardpath_core::policy::ObservedEnd;
+use mustardpath_core::policy::PolicyKind;
+use mustardpath_core::policy::PolicyMemory;
+use mustardpath_core::policy::PolicyView;
+use mustardpath_core::policy::RunningJob;
+use mustardpath_core::policy::WaitingJob;
+use mustardpath_core::policy::WorkerSlot;
+use mustardpath_core::queue::AccountTable;
+use mustardpath_core::record::JobOrder;
+use mustardpath_core::suspect::JobVerdict;
+use mustardpath_core::units::ClockTime;
+use mustardpath_core::units::TimeSpan;
+
+/// Time from a placement to the start: reserve, append, read back and start.
+pub(crate) const START_DELAY_MS: u64 = 500;
+
+/// A job that is known to the scheduler.
+pub(crate) struct ReplayJob {
+    pub(crate) order: JobOrder,
+    pub(crate) actual_ms: u64,
+    pub(crate) faulty: bool,
+    pub(crate) accepted_ms: u64,
+    pub(crate) checkpoint_ms: u64,
+    pub(crate) failed_on: Vec<WorkerName>,
+    pub(crate) run: Option<ReplayRun>,
+    /// Whether it lay within its team's guarantee when it was submitted, and has not yet started.
+    pub(crate) claims: bool,
+}
+
+/// The attempt of a running job.
+pub(crate) struct ReplayRun {
+    pub(crate) attempt: u64,
+    pub(crate) workers: Vec<WorkerName>,
+    pub(crate) placed_ms: u64,
+    pub(crate) stopping: bool,
+}
+
+/// What is due at a time, for one attempt of a job.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum DueKind {
+    Finish,
+    Fail,
+    Stopped,
+    Wake,
+}
+
+pub(crate) type DueEntry = Reverse<(u64, DueKind, JobId, u64)>;
+
+/// The state of one replay.
+pub(crate) struct ReplayState {
+    pub(crate) now_ms: u64,
+    pub(crate) workers: IndexMap<WorkerName, WorkerSlot>,
+    pub(crate) dark: Vec<bool>,
+    pub(crate) sick: Vec<bool>,
+    pub(crate) teams: IndexMap<TeamName, TeamFile>,
+    pub(crate) jobs: IndexMap<JobId, ReplayJob>,
+    pub(crate) memory: PolicyMemory,
+    pub(crate) kind: PolicyKind,
+    pub(crate) due: BinaryHeap<DueEntry>,
+    pub(crate) attempts: u64,
+    pub(crate) measure: ReplayMeasure,
+    pub(crate) guaranteed: Option<GangShape>,
+    pub(crate) share: Option<f64>,
+    pub(crate) out_since: Option<u64>,
+}
+
+/// Returns the accelerators of all members.
+pub(crate) fn size_of(order: &JobOrder) -> u64 {
+    u64::from(order.spec.members) * u64::from(order.spec.demand.accelerators)
+}
+
+impl ReplayState {
+    /// Tells whether a job fits in its team's guarantee beside all that the team has submitted.
+    pub(crate) fn is_within_guarantee(&self, order: &JobOrder) -> bool {
+        let (waiting, running) = self.views();
+        let view = self.view(&waiting, &running);
+        let mut accounts = AccountTable::new(&view);
+        for job in waiting.iter().filter(|job| job.order.team == order.team) {
+            accounts.add(job.order);
+        }
+        accounts.admits(order)
+    }
+
+    pub(crate) fn views(&self) -> (Vec<WaitingJob<'_>>, Vec<RunningJob<'_>>) {
+        let mut waiting = Vec::new();
+        let mut running = Vec::new();
+        for (job, entry) in &self.jobs {
+            match &entry.run {
+                None => waiting.push(WaitingJob {
+                    job: *job,
+                    order: &entry.order,
+                    accepted_at: ClockTime(entry.accepted_ms),
+                    checkpoint: TimeSpan(entry.checkpoint_ms),
+                    failed_on: &entry.failed_on,
+                }),
+                Some(run) => running.push(RunningJob {
+                    job: *job,
+                    order: &entry.order,
+                    workers: &run.workers,
+                    placed_at: ClockTime(run.placed_ms),
+                    checkpoint: TimeSpan(entry.checkpoint_ms),
+                    stopping: run.stopping,
+                }),
+            }
+        }
+        (waiting, running)
+    }
+
+    pub(crate) fn view<'a>(
+        &'a self,
+        waiting: &'a [WaitingJob<'a>],
+        running: &'a [RunningJob<'a>],
+    ) -> PolicyView<'a> {
+        PolicyView {
+            at: ClockTime(self.now_ms),
+            kind: self.kind,
+            workers: &self.workers,
+            waiting,
+            running,
+            teams: &self.teams,
+            moves_per_hour: 4,
+        }
+    }
+
+    /// Counts a broken promise when fixed work makes guaranteed shapes impossible that the
+    /// usable workers hold without it.
+    pub(crate) fn check_guarantees(&mut self) {
+        let fleet = FleetIndex::new(&self.workers);
+        let mut pinned = Vec::new();
+        for job in self.jobs.values().filter(|job| !job.order.spec.can_stop()) {
+            for worker in job.run.iter().flat_map(|run| &run.workers) {
+                if let Some(worker) = self.workers.get_index_of(worker) {
+                    pinned.push(PinnedTask {
+                        team: &job.order.team,
+                        worker,
+                        demand: job.order.spec.demand,
+                    });
+                }
+            }
+        }
+        let before = layout(&fleet, &self.teams, &[]).missing_count();
+        if layout(&fleet, &self.teams, &pinned).missing_count() > before {
+            ReplayMeasure::count(&mut self.measure.broken, "guarantee");
+        }
+    }
+
+    pub(crate) fn progress(&self, job: &ReplayJob) -> u64 {
+        let run = job.run.as_ref();
+        let ran = run.map_or(0, |run| {
+            self.now_ms.saturating_sub(run.placed_ms + START_DELAY_MS)
+        });
+        (job.checkpoint_ms + ran).min(job.actual_ms)
+    }
+
+    pub(crate) fn observe(
+        &mut self,
+        id: JobId,
+        failed: Option<&WorkerName>,
+        stopped: bool,
+    ) -> JobVerdict {
+        let job = &self.jobs[&id];
+        let workers = job.run.as_ref().map_or(&[][..], |run| &run.workers);
+        let observation = EndObservation {
+            at: ClockTime(self.now_ms),
+            job: id,
+            order: &job.order,
+            workers,
+            failed_on: &job.failed_on,
+            progress: TimeSpan(self.progress(job)),
+            end: match failed {
+                Some(worker) => ObservedEnd::Failed { worker },
+                None if stopped => ObservedEnd::Other,
+                None => ObservedEnd::Finished,
+            },
+        };
+        self.memory.observe_end(&observation)
+    }
+
+    /// Frees what a job holds and counts its progress.
+    pub(crate) fn release(&mut self, id: JobId) {
+        let progress = self.progress(&self.jobs[&id]);
+        let job = &mut self.jobs[&id];
+        let size = size_of(&job.order);
+        self.measure.worked_ms += (progress - job.checkpoint_ms) * size;
+        for worker in job.run.take().iter().flat_map(|run| &run.workers) {
+            self.workers[worker].free.add(&job.order.spec.demand);
+        }
+    }
+
+    /// Frees what a job holds; its progress since the last checkpoint is lost.
+    pub(crate) fn lose(&mut self, id: JobId) {
+        let job = &self.jobs[&id];
+        let lost = (self.progress(job) - job.checkpoint_ms) * size_of(&job.order);
+        self.measure.lost_ms += lost;
+        if self.out_since.is_some() {
+            self.measure.useful_out_ms -= lost.cast_signed();
+        }
+        self.release(id);
+    }
+
+    pub(crate) fn end(&mut self, id: JobId, name: &'static str) {
+        ReplayMeasure::count(&mut self.measure.ends, name);
+        self.jobs.shift_remove(&id);
+    }
+
+    /// Counts jobs that never ended with the time that they took so far.
+    pub(crate) fn close(&mut self) {
+        for (_, job) in std::mem::take(&mut self.jobs) {
+            ReplayMeasure::count(&mut self.measure.ends, "unfinished");
+            let span = self.now_ms - job.accepted_ms;
+            self.measure.completed(&job.order.service, span);
+        }
+    }
+}
--- /dev/null
+++ b/src/workload.rs
@@ -0,0 +1,355 @@
+//! Deployments of the traces: workers, teams and classes of work.
+
+use indexmap::IndexMap;
+
+use crate::trace::WorkerGroup;
+use mustardpath_core::config::GangAdjacency;
+use mustardpath_core::config::GuaranteedShape;
+use mustardpath_core::config::KeyDigest;
+use mustardpath_core::config::ResourceDemand;
+use mustardpath_core::config::ServiceSpec;
+use mustardpath_core::config::TeamFile;
+use mustardpath_core::config::TeamLimits;
+use mustardpath_core::config::WorkKind;
+use mustardpath_core::ids::ServiceName;
+use mustardpath_core::units::TimeSpan;
+
+const MINUTE_MS: u64 = 60_000;
+const HOUR_MS: u64 = 60 * MINUTE_MS;
+
+/// The workers and teams of a trace.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum DeploymentKind {
+    /// Thanh Lam: 48 workers, bookings, recertifications, analyses and seal checks.
+    ThanhLam,
+    /// Cordillera: 48 workers, mastering, previews and claim matches.
+    Cordillera,
+    /// The target size: 870 workers, 61 teams.
+    Target,
+}
+
+/// Name, weight and guaranteed shapes of a team: workers, one rack, count.
+pub type TeamRow = (String, u32, Vec<(u32, bool, u32)>);
+
+/// One class of work.
+pub struct WorkClass {
+    /// The service's name without its size.
+    pub service: &'static str,
+    /// Share of the offered accelerator-hours in 100,000ths.
+    pub share: u64,
+    /// Fewest and most members.
+    pub members: (u32, u32),
+    /// Fewest and most accelerators of one member.
+    pub accelerators: (u32, u32),
+    /// Shortest and longest run time.
+    pub minutes: (u64, u64),
+    /// Whether someone waits.
+    pub urgent: bool,
+    /// Whether the work may be stopped and run again.
+    pub stoppable: bool,
+    /// Deadline in hours.
+    pub deadline_hours: Option<u64>,
+    /// Whether all members stand in one rack.
+    pub same_rack: bool,
+    /// Hours of the day in which the class arrives.
+    pub hours: (u64, u64),
+}
+
+impl WorkClass {
+    /// Returns the accelerators that a member may have: powers of two, because jobs split their
+    /// data evenly.
+    #[must_use]
+    pub fn sizes(&self) -> Vec<u32> {
+        let (low, high) = self.accelerators;
+        let sizes = [0, 1, 2, 4, 8].into_iter();
+        sizes.filter(|size| (low..=high).contains(size)).collect()
+    }
+
+    /// Returns the name of the service whose members have this many accelerators.
+    #[must_use]
+    pub fn service_of(&self, size: u32) -> ServiceName {
+        format!("{}-{size}", self.service).as_str().into()
+    }
+}
+
+const ORDINARY: WorkClass = WorkClass {
+    service: "",
+    share: 0,
+    members: (1, 1),
+    accelerators: (1, 1),
+    minutes: (1, 1),
+    urgent: false,
+    stoppable: true,
+    deadline_hours: None,
+    same_rack: false,
+    hours: (0, 24),
+};
+
+const THANH_LAM: [WorkClass; 4] = [
+    WorkClass {
+        service: "recertification",
+        share: 45_000,
+        members: (1, 16),
+        accelerators: (8, 8),
+        minutes: (60, 360),
+        ..ORDINARY
+    },
+    WorkClass {
+        service: "sand-flow",
+        share: 53_000,
+        members: (1, 4),
+        accelerators: (2, 8),
+        minutes: (15, 90),
+        deadline_hours: Some(6),
+        ..ORDINARY
+    },
+    WorkClass {
+        service: "seal-check",
+        share: 200,
+        minutes: (1, 5),
+        urgent: true,
+        ..ORDINARY
+    },
+    WorkClass {
+        service: "calibration",
+        share: 1_800,
+        accelerators: (1, 4),
+        minutes: (5, 20),
+        stoppable: false,
+        ..ORDINARY
+    },
+];
+
+const CORDILLERA: [WorkClass; 3] = [
+    WorkClass {
+        service: "mastering",
+        share: 94_000,
+        members: (1, 16),
+        accelerators: (8, 8),
+        minutes: (30, 360),
+        ..ORDINARY
+    },
+    WorkClass {
+        service: "preview",
+        share: 200,
+        minutes: (1, 4),
+        urgent: true,
+        ..ORDINARY
+    },
+    WorkClass {
+        service: "claim-match",
+        share: 5_800,
+        members: (1, 2),
+        accelerators: (1, 4),
+        minutes: (10, 30),
+        stoppable: false,
+        hours: (1, 6),
+        ..ORDINARY
+    },
+];
+
+const TARGET: [WorkClass; 4] = [
+    WorkClass {
+        service: "training",
+        share: 98_967,
+        members: (8, 64),
+        accelerators: (0, 1),
+        minutes: (180, 720),
+        ..ORDINARY
+    },
+    WorkClass {
+        service: "analysis",
+        share: 1_000,
+        members: (1, 16),
+        accelerators: (0, 1),
+        minutes: (60, 240),
+        deadline_hours: Some(12),
+        ..ORDINARY
+    },
+    WorkClass {
+        service: "check",
+        share: 3,
+        minutes: (1, 5),
+        urgent: true,
+        ..ORDINARY
+    },
+    WorkClass {
+        service: "booking",
+        share: 30,
+        minutes: (10, 30),
+        stoppable: false,
+        ..ORDINARY
+    },
+];
+
+impl DeploymentKind {
+    /// Returns the classes of work, the largest first.
+    #[must_use]
+    pub const fn classes(self) -> &'static [WorkClass] {
+        match self {
+            Self::ThanhLam => &THANH_LAM,
+            Self::Cordillera => &CORDILLERA,
+            Self::Target => &TARGET,
+        }
+    }
+
+    /// Returns regions with failure domains.
+    #[must_use]
+    pub const fn domains(self) -> &'static [(&'static str, &'static str)] {
+        match self {
+            Self::ThanhLam => &[("south", "sg-a"), ("south", "ct-a"), ("north", "hn-a")],
+            Self::Cordillera => &[
+                ("bogota", "bogota-a"),
+                ("bogota", "bogota-b"),
+                ("medellin", "medellin-a"),
+            ],
+            Self::Target => &[
+                ("east", "east-a"),
+                ("east", "east-b"),
+                ("east", "east-c"),
+                ("west", "west-a"),
+                ("west", "west-b"),
+                ("west", "west-c"),
+            ],
+        }
+    }
+
+    fn capacity(self) -> ResourceDemand {
+        let (slots, accelerators, cores, gib) = match self {
+            Self::ThanhLam => (8, 8, 64, 256),
+            Self::Cordillera => (8, 8, 32, 128),
+            Self::Target => (26, 8, 64, 256),
+        };
+        ResourceDemand {
+            slots,
+            accelerators,
+            cores,
+            memory_mib: gib << 10,
+        }
+    }
+
+    /// Returns the groups of workers.
+    #[must_use]
+    pub fn groups(self) -> Vec<WorkerGroup> {
+        let group =
+            |&(region, domain): &(&str, &str), prefix: &str, workers, capacity| WorkerGroup {
+                region: region.into(),
+                domain: domain.into(),
+                prefix: prefix.into(),
+                workers,
+                per_rack: 8,
+                capacity,
+            };
+        let capacity = self.capacity();
+        let mut groups = Vec::new();
+        for domain in self.domains() {
+            if self == Self::Target {
+                // 6 domains of 145 workers; 23 of them with 8 accelerators are 1,104 in all.
+                let plain = ResourceDemand {
+                    accelerators: 0,
+                    ..capacity
+                };
+                groups.push(group(domain, domain.1, 23, capacity));
+                groups.push(group(domain, &format!("{}-plain", domain.1), 122, plain));
+            } else {
+                groups.push(group(domain, domain.1, 16, capacity));
+            }
+        }
+        groups
+    }
+
+    /// Returns teams by name with guaranteed shapes: workers, one rack, count.
+    #[must_use]
+    pub fn teams(self) -> Vec<TeamRow> {
+        let named = |name: &str, weight, shapes: &[_]| (name.to_string(), weight, shapes.to_vec());
+        match self {
+            Self::ThanhLam => vec![
+                named("orchid", 3, &[(8, true, 1), (1, false, 4)]),
+                named("lotus", 2, &[(4, true, 1), (1, false, 2)]),
+                named("jasmine", 1, &[(1, false, 4)]),
+                named("bamboo", 1, &[(1, false, 2)]),
+            ],
+            Self::Cordillera => vec![
+                named("condor", 3, &[(8, true, 1), (1, false, 2)]),
+                named("puma", 2, &[(4, true, 2)]),
+                named("tapir", 1, &[(1, false, 4)]),
+                named("quetzal", 1, &[(1, false, 2)]),
+            ],
+            Self::Target => (0..61)
+                .map(|number| {
+                    let shapes = if number < 6 {
+                        vec![(4, true, 1), (1, false, 2)]
+                    } else {
+                        vec![(1, false, 1)]
+                    };
+                    (format!("team-{number:02}"), 1 + number % 3, shapes)
+                })
+                .collect(),
+        }
+    }
+}
+
+/// Returns the demand of a member: slots and cores follow the accelerators.
+fn member_demand(kind: DeploymentKind, accelerators: u32) -> ResourceDemand {
+    let whole = kind.capacity();
+    ResourceDemand {
+        slots: 1,
+        accelerators,
+        cores: (whole.cores / 8 * accelerators.max(1)).min(whole.cores) / 2,
+        memory_mib: (whole.memory_mib / 8 * accelerators.max(1)).min(whole.memory_mib) / 2,
+    }
+}
+
+fn service_spec(kind: DeploymentKind, class: &WorkClass, accelerators: u32) -> ServiceSpec {
+    ServiceSpec {
+        work: WorkKind::Job,
+        repeatable: class.stoppable,
+        urgent: class.urgent,
+        preemptible: class.stoppable,
+        priority: i32::from(class.urgent),
+        members: class.members.0,
+        demand: member_demand(kind, accelerators),
+        adjacency: if class.same_rack {
+            GangAdjacency::SameRack
+        } else {
+            GangAdjacency::FewestRacks
+        },
+        spread_domains: false,
+        run_time: TimeSpan(class.minutes.0.midpoint(class.minutes.1) * MINUTE_MS),
+        deadline: class.deadline_hours.map(|hours| TimeSpan(hours * HOUR_MS)),
+    }
+}
+
+/// Returns the team files of a deployment; each team declares all services.
+#[must_use]
+pub fn team_files(kind: DeploymentKind) -> Vec<TeamFile> {
+    let services: IndexMap<ServiceName, ServiceSpec> = kind
+        .classes()
+        .iter()
+        .flat_map(|class| {
+            class.sizes().into_iter().map(move |size| {
+                let spec = service_spec(kind, class, size);
+                (class.service_of(size), spec)
+            })
+        })
+        .collect();
+    let mut offered = kind.capacity();
+    offered.slots -= crate::trace::REQUEST_SLOTS;
+    let shape = |&(workers, same_rack, count): &(u32, bool, u32)| GuaranteedShape {
+        workers,
+        per_worker: offered,
+        same_rack,
+        count,
+    };
+    kind.teams()
+        .iter()
+        .map(|(name, weight, shapes)| TeamFile {
+            team: name.as_str().into(),
+            key_sha256: KeyDigest::of(name),
+            weight: *weight,
+            guarantees: shapes.iter().map(shape).collect(),
+            limits: TeamLimits::default(),
+            services: services.clone(),
+        })
+        .collect()
+}
