--- a/src/workload.rs
+++ b/src/workload.rs
@@ -151,15 +151,15 @@
 const TARGET: [WorkClass; 4] = [
     WorkClass {
         service: "training",
-        share: 98_967,
+        share: 93_967,
         members: (8, 64),
-        accelerators: (0, 1),
+        accelerators: (0, 0),
         minutes: (180, 720),
         ..ORDINARY
     },
     WorkClass {
         service: "analysis",
-        share: 1_000,
+        share: 6_000,
         members: (1, 16),
         accelerators: (0, 1),
         minutes: (60, 240),
@@ -292,11 +292,13 @@
 /// Returns the demand of a member: slots and cores follow the accelerators.
 fn member_demand(kind: DeploymentKind, accelerators: u32) -> ResourceDemand {
     let whole = kind.capacity();
+    // Tasks without accelerators are small at the target size: 16,000 run on 870 workers.
+    let part = if kind == DeploymentKind::Target { 4 } else { 2 };
     ResourceDemand {
         slots: 1,
         accelerators,
-        cores: (whole.cores / 8 * accelerators.max(1)).min(whole.cores) / 2,
-        memory_mib: (whole.memory_mib / 8 * accelerators.max(1)).min(whole.memory_mib) / 2,
+        cores: (whole.cores / 8 * accelerators.max(1)).min(whole.cores) / part,
+        memory_mib: (whole.memory_mib / 8 * accelerators.max(1)).min(whole.memory_mib) / part,
     }
 }
 
