Keep heartbeats apart from ledgers on their way to a peer

Cause: a ledger of several megabytes takes seconds on a link of 30 Mbit/s, and the heartbeats to the same peer waited behind it.

Change: a ledger is sent by a task of its own over the same connection. Tests of effects without room and of silent connections to workers.

Ruled out: a second connection for ledgers; calls of one connection may overlap anyway.

Conclusion: a transfer does not make its sender look dead.

--- a/src/peers.rs
+++ b/src/peers.rs
@@ -165,7 +165,13 @@
         let Some(client) = &connection else {
             continue;
         };
-        if !peer_message::send(client, &me, &message, CALL_TIME).await {
+        if let PeerMessage::State { .. } = &message {
+            // A ledger takes seconds on a slow link, and heartbeats must not wait for it.
+            let (client, me) = (client.clone(), me.clone());
+            task::spawn_local(async move {
+                peer_message::send(&client, &me, &message, CALL_TIME).await;
+            });
+        } else if !peer_message::send(client, &me, &message, CALL_TIME).await {
             connection = None;
         }
     }
--- /dev/null
+++ b/tests/dispatch.rs
@@ -0,0 +1,136 @@
+//! Effects whose thread has no room.
+
+use std::sync::Arc;
+
+use tokio::sync::mpsc;
+
+use mustardpath::dispatch::EffectPorts;
+use mustardpath::exchange::ExchangeTable;
+use mustardpath::metrics::MetricSink;
+use mustardpath_core::effect::ControlEffect;
+use mustardpath_core::effect::PeerMessage;
+use mustardpath_core::event::AppendOutcome;
+use mustardpath_core::event::CallOutcome;
+use mustardpath_core::event::EndpointOutcome;
+use mustardpath_core::event::EventInput;
+use mustardpath_core::event::ReadOutcome;
+use mustardpath_core::event::VmOutcome;
+use mustardpath_core::ids::BatchId;
+use mustardpath_core::ids::CallId;
+use mustardpath_core::ids::CallerId;
+use mustardpath_core::ids::LogOffset;
+use mustardpath_core::ids::RequestId;
+use mustardpath_core::ids::TermNumber;
+use mustardpath_core::ledger::LedgerState;
+use mustardpath_core::units::TimeSpan;
+use mustardpath_core::worker::WorkerCommand;
+
+/// Guards against a control thread that waits for a traffic thread or forgets an effect: without
+/// room each effect comes back as the event that says it was not carried out.
+#[test]
+fn full_channels_answer_with_the_failing_event() {
+    // Channels without a buffer whose receivers do not wait have no room.
+    let (reads, _reads) = crossbeam_channel::bounded(0);
+    let (writes, _writes) = crossbeam_channel::bounded(0);
+    let (calls, _calls) = crossbeam_channel::bounded(0);
+    let (requests, _requests) = crossbeam_channel::bounded(0);
+    let (lines, _lines) = crossbeam_channel::bounded(0);
+    let (peers, _peers) = mpsc::channel(1);
+    let ports = EffectPorts {
+        reads,
+        writes,
+        calls,
+        requests,
+        peers,
+        lines,
+        metrics: MetricSink::open(None).expect("sink"),
+        exchanges: Arc::new(ExchangeTable::new(1)),
+    };
+    let (batch, call, request) = (BatchId(1), CallId(2), RequestId(3));
+    let from = LogOffset(4);
+    let cases = [
+        (
+            ControlEffect::Append {
+                batch,
+                records: Vec::new(),
+            },
+            EventInput::AppendDone {
+                batch,
+                outcome: AppendOutcome::Refused,
+            },
+        ),
+        (
+            ControlEffect::WriteSnapshot {
+                ledger: Box::new(LedgerState::default()),
+            },
+            EventInput::SnapshotWritten { stored: false },
+        ),
+        (
+            ControlEffect::ReadLog {
+                from,
+                wait: TimeSpan(1),
+            },
+            EventInput::LogRead {
+                from,
+                outcome: ReadOutcome::Failed,
+            },
+        ),
+        (
+            ControlEffect::ReadSnapshot,
+            EventInput::SnapshotRead {
+                ledger: None,
+                reachable: false,
+            },
+        ),
+        (
+            ControlEffect::CallWorker {
+                call,
+                worker: "w1".into(),
+                address: "127.0.0.1:1".into(),
+                command: WorkerCommand::Fence {
+                    term: TermNumber(1),
+                },
+                timeout: TimeSpan(1),
+            },
+            EventInput::WorkerAnswer {
+                call,
+                worker: "w1".into(),
+                outcome: CallOutcome::Undelivered,
+            },
+        ),
+        (
+            ControlEffect::SendRequest {
+                caller: CallerId(1),
+                request,
+                attempt: 2,
+                worker: "w1".into(),
+                address: "127.0.0.1:1".into(),
+                service: "check".into(),
+                timeout: TimeSpan(1),
+            },
+            EventInput::EndpointAnswer {
+                request,
+                attempt: 2,
+                outcome: EndpointOutcome::Undelivered,
+            },
+        ),
+        (
+            ControlEffect::FetchVms { since: 0 },
+            EventInput::VmList {
+                outcome: VmOutcome::Failed,
+            },
+        ),
+    ];
+    for (effect, event) in cases {
+        assert_eq!(ports.carry_out(effect), Some(event));
+    }
+    // A lost message between daemons is allowed, and nothing answers it.
+    for _ in 0..2 {
+        let effect = ControlEffect::SendPeer {
+            to: "d2".into(),
+            address: "127.0.0.1:1".into(),
+            message: PeerMessage::StateWanted,
+        };
+        assert_eq!(ports.carry_out(effect), None);
+    }
+}
--- /dev/null
+++ b/tests/worker_calls.rs
@@ -0,0 +1,160 @@
+//! Calls to workers over connections that fail.
+
+use std::io::Read;
+use std::io::Write;
+use std::net::TcpListener;
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::thread;
+
+use crossbeam_channel::Sender;
+
+use mustardpath::control;
+use mustardpath::control::EventReceiver;
+use mustardpath::exchange::ExchangeTable;
+use mustardpath::outbound;
+use mustardpath::outbound::CallJob;
+use mustardpath::outbound::OutboundContext;
+use mustardpath_core::config::KeyDigest;
+use mustardpath_core::event::CallOutcome;
+use mustardpath_core::event::EventInput;
+use mustardpath_core::ids::CallId;
+use mustardpath_core::ids::JobId;
+use mustardpath_core::ids::TaskId;
+use mustardpath_core::ids::TermNumber;
+use mustardpath_core::ids::WriterId;
+use mustardpath_core::settings::DaemonSettings;
+use mustardpath_core::units::TimeSpan;
+use mustardpath_core::worker::WorkerCommand;
+use mustardpath_core::worker::WorkerReply;
+
+/// One thread that calls a worker.
+struct TestCaller {
+    jobs: Sender<CallJob>,
+    events: EventReceiver,
+    address: String,
+}
+
+impl TestCaller {
+    fn start(address: String) -> Self {
+        let settings: DaemonSettings = serde_json::from_value(serde_json::json!({
+            "daemon": "d1",
+            "region": "north",
+            "domain": "one",
+            "caller_address": "127.0.0.1:0",
+            "peer_address": "127.0.0.1:0",
+            "log_address": "127.0.0.1:1",
+            "vms_address": "127.0.0.1:1",
+            "operator_key_sha256": KeyDigest::of("key"),
+            "limits": { "call_threads": 1 },
+        }))
+        .expect("settings");
+        let (sender, events) = control::event_channel();
+        let jobs = outbound::spawn_calls(&OutboundContext {
+            events: sender,
+            exchanges: Arc::new(ExchangeTable::new(1)),
+            writer: WriterId {
+                daemon: "d1".into(),
+                incarnation: 1,
+            },
+            settings: Arc::new(settings),
+        })
+        .expect("threads");
+        Self {
+            jobs,
+            events,
+            address,
+        }
+    }
+
+    fn call(&mut self, command: WorkerCommand) -> CallOutcome {
+        self.jobs
+            .send(CallJob::Worker {
+                call: CallId(1),
+                worker: "w1".into(),
+                address: self.address.clone(),
+                command,
+                timeout: TimeSpan::from_secs(2),
+            })
+            .expect("thread");
+        match self.events.blocking_recv() {
+            Some(EventInput::WorkerAnswer { outcome, .. }) => outcome,
+            other => panic!("unexpected event: {other:?}"),
+        }
+    }
+}
+
+fn renew() -> WorkerCommand {
+    WorkerCommand::Renew {
+        ttl: TimeSpan::from_secs(45),
+        seen: 0,
+        report_to: "127.0.0.1:1".into(),
+    }
+}
+
+fn checkpoint() -> WorkerCommand {
+    let task = TaskId {
+        job: JobId(1),
+        attempt: 1,
+        member: 0,
+    };
+    let term = TermNumber(1);
+    WorkerCommand::Checkpoint { term, task }
+}
+
+/// Answers `answers` requests of one connection and then takes bytes without answering.
+fn serve(mut stream: TcpStream, answers: usize) {
+    let mut part = [0; 4_096];
+    let mut answered = 0;
+    while stream.read(&mut part).is_ok_and(|count| count > 0) {
+        // The commands are small enough to arrive with their head; a part that ends with the
+        // body's last brace is a whole request.
+        let text = String::from_utf8_lossy(&part);
+        if answered < answers && text.contains('}') {
+            let body = r#"{"reply":"done"}"#;
+            let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len());
+            stream
+                .write_all(format!("{head}{body}").as_bytes())
+                .expect("answer");
+            answered += 1;
+        }
+        part = [0; 4_096];
+    }
+}
+
+/// Guards against a worker that counts as silent because an open connection to it is: a renewal
+/// is tried over a new connection, and later commands go over new connections at once.
+#[test]
+fn a_silent_connection_does_not_make_its_worker_silent() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("port");
+    let address = listener.local_addr().expect("address").to_string();
+    thread::spawn(move || {
+        for (number, stream) in listener.incoming().enumerate() {
+            let answers = if number == 0 { 1 } else { usize::MAX };
+            let stream = stream.expect("connection");
+            thread::spawn(move || serve(stream, answers));
+        }
+    });
+    let mut caller = TestCaller::start(address);
+    let done = CallOutcome::Reply {
+        reply: WorkerReply::Done,
+    };
+    assert_eq!(caller.call(renew()), done, "over the first connection");
+    assert_eq!(caller.call(renew()), done, "over a new connection");
+    assert_eq!(caller.call(checkpoint()), done, "without the silent one");
+}
+
+/// Guards against "not delivered" for a command that arrived and was not answered.
+#[test]
+fn a_command_without_an_answer_is_unknown() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("port");
+    let address = listener.local_addr().expect("address").to_string();
+    thread::spawn(move || {
+        for stream in listener.incoming() {
+            let stream = stream.expect("connection");
+            thread::spawn(move || serve(stream, 0));
+        }
+    });
+    let mut caller = TestCaller::start(address);
+    assert_eq!(caller.call(checkpoint()), CallOutcome::Unknown);
+}
