--- a/tests/cells/step.rs
+++ b/tests/cells/step.rs
@@ -31,6 +31,8 @@
     Record,
     /// The planner sends the first start.
     Start,
+    /// The planner sends the start of the job that may not be repeated.
+    StartOnce,
     /// A daemon renews a lease while work runs.
     Renew,
     /// A worker has the end of a task to report.
@@ -39,6 +41,8 @@
     Checkpoint,
     /// The planner stops a task.
     Stop,
+    /// A daemon sends a request that may not be repeated to its endpoint.
+    Send,
     /// A daemon sends the end record of a request that may not be repeated.
     Answer,
     /// A daemon sends a change of the configuration.
@@ -58,16 +62,18 @@
 }
 
 /// All steps.
-pub const STEPS: [CellStep; 17] = [
+pub const STEPS: [CellStep; 19] = [
     CellStep::Accept,
     CellStep::Place,
     CellStep::Reserve,
     CellStep::Record,
     CellStep::Start,
+    CellStep::StartOnce,
     CellStep::Renew,
     CellStep::Report,
     CellStep::Checkpoint,
     CellStep::Stop,
+    CellStep::Send,
     CellStep::Answer,
     CellStep::Publish,
     CellStep::TakeOut,
@@ -176,6 +182,7 @@
             ControlEffect::CallWorker { command, .. } => match self {
                 Self::Place => matches!(command, WorkerCommand::Reserve { .. }),
                 Self::Start => matches!(command, WorkerCommand::Start { .. }),
+                Self::StartOnce => is_start_of(command, "once"),
                 Self::Renew => matches!(command, WorkerCommand::Renew { .. }),
                 Self::Checkpoint => matches!(
                     command,
@@ -192,6 +199,9 @@
                 let mut bodies = records.iter().map(|record| &record.body);
                 bodies.any(|body| self.is_marked_by_record(body))
             }
+            ControlEffect::SendRequest { service, .. } => {
+                self == Self::Send && service.as_str() == "ask-once"
+            }
             ControlEffect::WriteSnapshot { .. } => self == Self::Snapshot,
             ControlEffect::Note { line, .. } => self == Self::ShutDown && line == "draining",
             _ => false,
@@ -215,6 +225,13 @@
     }
 }
 
+fn is_start_of(command: &WorkerCommand, service: &str) -> bool {
+    match command {
+        WorkerCommand::Start { run, .. } => run.service.as_str() == service,
+        _ => false,
+    }
+}
+
 /// Returns the daemon that holds the term.
 pub fn planner(driver: &SimDriver) -> Option<usize> {
     let holder = ledger::holder(driver.ledger())?;
