Follow the name wait_ms in the local run and the tests

Without the name a read answers at once, so the local run polled.

Change: the new name. The checks are the same.

--- a/src/local_load.rs
+++ b/src/local_load.rs
@@ -152,7 +152,7 @@
     }
 
     fn await_end(&self, client: &mut CallerClient, job: JobId, key: &str) {
-        let path = format!("/v1/jobs/{job}?wait={STATUS_WAIT_MS}");
+        let path = format!("/v1/jobs/{job}?wait_ms={STATUS_WAIT_MS}");
         while Instant::now() < self.deadline {
             match local_cluster::decode_answer(client.get(&path, COMMAND_TIME)) {
                 Ok(CallerAnswer::Job(view)) => {
--- a/tests/refusals.rs
+++ b/tests/refusals.rs
@@ -98,7 +98,7 @@
         ("GET", "/v1/jobs/-1", &[TEAM], b"", ErrorKind::BadRequest),
         (
             "GET",
-            "/v1/jobs/1?wait=soon",
+            "/v1/jobs/1?wait_ms=soon",
             &[TEAM],
             b"",
             ErrorKind::BadRequest,
@@ -133,7 +133,7 @@
 fn a_long_wait_is_shortened() {
     let routed = route(
         "GET",
-        "/v1/jobs/7?wait=86400000",
+        "/v1/jobs/7?wait_ms=86400000",
         &[("mustardpath-team", "sand")],
         b"",
     );
--- a/tests/shutdown.rs
+++ b/tests/shutdown.rs
@@ -106,7 +106,7 @@
     daemon.stop_handle().drain();
     daemon.wait();
     let mut other = bench.caller(0);
-    let path = format!("/v1/jobs/{job}?wait=5000");
+    let path = format!("/v1/jobs/{job}?wait_ms=5000");
     let end = until("the job ends", || {
         match local_cluster::decode_answer(other.get(&path, PATIENCE)) {
             Ok(CallerAnswer::Job(view)) => view.end,
