Leave threads to short commands while callers wait

Cause: each wait for a job and each short request takes a thread of the pool. Sixty-four waiting callers would shut out reports of workers, readiness and operators for up to 30 s.

Change: a quarter of the threads is left to short commands. The local run's channel of events is bounded.

Ruled out: a second HTTP server for operators and reports, which needs one more address in settings and heartbeats.

Conclusion: waiting callers cannot close a daemon to its operators.

--- a/src/callers.rs
+++ b/src/callers.rs
@@ -168,6 +168,32 @@
     }
 }
 
+/// Returns the command to carry out while `open` of `threads` threads wait for answers.
+///
+/// A quarter of the threads is left to short commands: reports of workers, readiness and operators
+/// must get through while callers wait. A wait for a job becomes a read of its state.
+///
+/// # Errors
+///
+/// Returns a refusal for a short request beyond the rest of the threads.
+pub fn admit(
+    open: usize,
+    threads: usize,
+    command: CallerCommand,
+) -> Result<CallerCommand, FailureReport> {
+    if open < threads - threads / 4 {
+        return Ok(command);
+    }
+    match command {
+        CallerCommand::JobWait { team, job, .. } => Ok(CallerCommand::JobStatus { team, job }),
+        CallerCommand::Send(_) => Err(FailureReport::new(
+            ErrorKind::Overloaded,
+            "too many callers wait at this daemon",
+        )),
+        other => Ok(other),
+    }
+}
+
 /// Sends a command to the control thread and waits for its answer.
 fn exchange(
     context: &CallerContext,
@@ -176,6 +202,11 @@
     command: CallerCommand,
     body: &[u8],
 ) -> HttpAnswer {
+    let threads = context.settings.limits.caller_threads as usize;
+    let command = match admit(context.exchanges.len(), threads, command) {
+        Ok(command) => command,
+        Err(report) => return problem::encode_failure(&report),
+    };
     let patience = patience(context, &command);
     let held = match &command {
         CallerCommand::Send(head) => Some(request_body(context, head, body)),
--- a/src/local_run.rs
+++ b/src/local_run.rs
@@ -55,6 +55,9 @@
 /// Time between two lines of progress.
 const PROGRESS: Duration = Duration::from_secs(2);
 
+/// Events of callers that wait to be counted.
+const EVENT_QUEUE: usize = 1_024;
+
 /// Pause between two tries while the daemons start.
 const START_PAUSE: Duration = Duration::from_millis(200);
 
@@ -159,7 +162,7 @@
         cluster.daemons.len()
     );
     publish(&cluster, &teams)?;
-    let (events, received) = crossbeam_channel::unbounded();
+    let (events, received) = crossbeam_channel::bounded(EVENT_QUEUE);
     start_callers(&plan, &teams, &cluster, &events)?;
     start_operator(&plan, &mut cluster, events)?;
     let mut summary = RunSummary {
--- a/tests/refusals.rs
+++ b/tests/refusals.rs
@@ -9,6 +9,7 @@
 use bench::PATIENCE;
 use bench::TestBench;
 
+use mustardpath::callers;
 use mustardpath::http_client::HttpReply;
 use mustardpath::local_cluster;
 use mustardpath::local_cluster::CallerClient;
@@ -16,6 +17,8 @@
 use mustardpath::route_table::HttpRequest;
 use mustardpath::route_table::RoutedRequest;
 use mustardpath_core::event::CallerCommand;
+use mustardpath_core::event::RequestHead;
+use mustardpath_core::ids::JobId;
 use mustardpath_core::kind::ErrorKind;
 use mustardpath_core::settings::LimitSettings;
 use mustardpath_core::units::TimeSpan;
@@ -143,6 +146,33 @@
     assert_eq!(wait, TimeSpan::from_secs(30));
 }
 
+/// Guards against callers that wait on all threads and shut out reports, readiness and operators.
+#[test]
+fn waiting_callers_leave_threads_to_short_commands() {
+    let send = RequestHead {
+        team: "sand".into(),
+        service: "check".into(),
+        key: None,
+        deadline: None,
+        digest: 0,
+        length: 0,
+    };
+    let send = CallerCommand::Send(send);
+    let (team, job) = ("sand".into(), JobId(1));
+    let wait = TimeSpan::from_secs(30);
+    let waiting = CallerCommand::JobWait { team, job, wait };
+    assert_eq!(callers::admit(47, 64, send.clone()), Ok(send.clone()));
+    assert_eq!(callers::admit(47, 64, waiting.clone()), Ok(waiting.clone()));
+    let refused = callers::admit(48, 64, send).map_err(|report| report.kind);
+    assert_eq!(refused, Err(ErrorKind::Overloaded));
+    let team = "sand".into();
+    let status = CallerCommand::JobStatus { team, job };
+    assert_eq!(callers::admit(48, 64, waiting), Ok(status));
+    for command in [CallerCommand::Ready, CallerCommand::DomainStatus] {
+        assert_eq!(callers::admit(64, 64, command.clone()), Ok(command));
+    }
+}
+
 fn check_problem(reply: &HttpReply, status: u16, kind: &str) {
     assert_eq!(
         reply.status,
