Count and log the limits that callers reach

Cause: a refusal for lack of threads or exchanges was answered, and neither counted nor logged, unlike each other limit.

Change: the threads of callers share the metrics client and the logger's channel.

Ruled out: an event to the reducer, whose queue may be what is full.

Conclusion: each limit has its answer, counter and line.

--- a/src/callers.rs
+++ b/src/callers.rs
@@ -11,6 +11,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use crossbeam_channel::Sender;
 use rouille::Request;
 use rouille::Response;
 use rouille::Server;
@@ -18,11 +19,16 @@
 use crate::control::EventSender;
 use crate::exchange::ExchangeTable;
 use crate::exchange::RequestBody;
+use crate::logs::LogLine;
+use crate::metrics::MetricSink;
 use crate::problem;
 use crate::problem::HttpAnswer;
 use crate::route_table;
 use crate::route_table::HttpRequest;
 use crate::route_table::RoutedRequest;
+use mustardpath_core::effect::LogPart;
+use mustardpath_core::effect::MetricName;
+use mustardpath_core::effect::NoteLevel;
 use mustardpath_core::effect::WorkerTasks;
 use mustardpath_core::event::CallerCommand;
 use mustardpath_core::event::CallerCredential;
@@ -51,6 +57,24 @@
     pub exchanges: Arc<ExchangeTable>,
     /// The daemon's settings.
     pub settings: Arc<DaemonSettings>,
+    /// Counts limits that are reached.
+    pub metrics: MetricSink,
+    /// To the logger.
+    pub lines: Sender<LogLine>,
+}
+
+impl CallerContext {
+    /// Counts and logs a limit that is reached and returns its answer.
+    fn refuse_for_limit(&self, report: &FailureReport) -> HttpAnswer {
+        self.metrics.count(MetricName::LimitsReached, 1);
+        // A full logger has no room for this line either.
+        let _ = self.lines.try_send(LogLine {
+            part: LogPart::Request,
+            level: NoteLevel::Warn,
+            line: format!("a caller is refused: {}", report.detail),
+        });
+        problem::encode_failure(report)
+    }
 }
 
 /// The running HTTP server.
@@ -205,7 +229,7 @@
     let threads = context.settings.limits.caller_threads as usize;
     let command = match admit(context.exchanges.len(), threads, command) {
         Ok(command) => command,
-        Err(report) => return problem::encode_failure(&report),
+        Err(report) => return context.refuse_for_limit(&report),
     };
     let patience = patience(context, &command);
     let held = match &command {
@@ -213,7 +237,7 @@
         _ => None,
     };
     let Some(open) = context.exchanges.open(Some(connection), held) else {
-        return problem::encode_failure(&FailureReport::new(
+        return context.refuse_for_limit(&FailureReport::new(
             ErrorKind::Overloaded,
             "the daemon holds as many open exchanges as it may",
         ));
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -96,6 +96,8 @@
             events: events.clone(),
             exchanges: Arc::clone(&exchanges),
             settings: Arc::clone(&settings),
+            metrics: ports.metrics.clone(),
+            lines: ports.lines.clone(),
         })?;
         let gate = gate::spawn(GateContext {
             listener: callers,
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 use std::net::UdpSocket;
+use std::sync::Arc;
 
 use cadence::Counted;
 use cadence::Gauged;
@@ -12,8 +13,9 @@
 use mustardpath_core::effect::MetricName;
 
 /// Sends metrics, or drops them when no server is set.
+#[derive(Clone)]
 pub struct MetricSink {
-    client: Option<StatsdClient>,
+    client: Option<Arc<StatsdClient>>,
 }
 
 impl MetricSink {
@@ -34,7 +36,7 @@
             .with_error_handler(|_: MetricError| {})
             .build();
         Ok(Self {
-            client: Some(client),
+            client: Some(Arc::new(client)),
         })
     }
 
