--- a/src/callers.rs
+++ b/src/callers.rs
@@ -11,6 +11,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use crossbeam_channel::Sender;
 use rouille::Request;
 use rouille::Response;
 use rouille::Server;
@@ -18,11 +19,16 @@
 use crate::control::EventSender;
 use crate::exchange::ExchangeTable;
 use crate::exchange::RequestBody;
+use crate::logs::LogLine;
+use crate::metrics::MetricSink;
 use crate::problem;
 use crate::problem::HttpAnswer;
 use crate::route_table;
 use crate::route_table::HttpRequest;
 use crate::route_table::RoutedRequest;
+use mustardpath_core::effect::LogPart;
+use mustardpath_core::effect::MetricName;
+use mustardpath_core::effect::NoteLevel;
 use mustardpath_core::effect::WorkerTasks;
 use mustardpath_core::event::CallerCommand;
 use mustardpath_core::event::CallerCredential;
@@ -51,6 +57,24 @@
     pub exchanges: Arc<ExchangeTable>,
     /// The daemon's settings.
     pub settings: Arc<DaemonSettings>,
+    /// Counts limits that are reached.
+    pub metrics: MetricSink,
+    /// To the logger.
+    pub lines: Sender<LogLine>,
+}
+
+impl CallerContext {
+    /// Counts and logs a limit that is reached and returns its answer.
+    fn refuse_for_limit(&self, report: &FailureReport) -> HttpAnswer {
+        self.metrics.count(MetricName::LimitsReached, 1);
+        // A full logger has no room for this line either.
+        let _ = self.lines.try_send(LogLine {
+            part: LogPart::Request,
+            level: NoteLevel::Warn,
+            line: format!("a caller is refused: {}", report.detail),
+        });
+        problem::encode_failure(report)
+    }
 }
 
 /// The running HTTP server.
@@ -168,6 +192,32 @@
     }
 }
 
+/// Returns the command to carry out while `open` of `threads` threads wait for answers.
+///
+/// A quarter of the threads is left to short commands: reports of workers, readiness and operators
+/// must get through while callers wait. A wait for a job becomes a read of its state.
+///
+/// # Errors
+///
+/// Returns a refusal for a short request beyond the rest of the threads.
+pub fn admit(
+    open: usize,
+    threads: usize,
+    command: CallerCommand,
+) -> Result<CallerCommand, FailureReport> {
+    if open < threads - threads / 4 {
+        return Ok(command);
+    }
+    match command {
+        CallerCommand::JobWait { team, job, .. } => Ok(CallerCommand::JobStatus { team, job }),
+        CallerCommand::Send(_) => Err(FailureReport::new(
+            ErrorKind::Overloaded,
+            "too many callers wait at this daemon",
+        )),
+        other => Ok(other),
+    }
+}
+
 /// Sends a command to the control thread and waits for its answer.
 fn exchange(
     context: &CallerContext,
@@ -176,13 +226,18 @@
     command: CallerCommand,
     body: &[u8],
 ) -> HttpAnswer {
+    let threads = context.settings.limits.caller_threads as usize;
+    let command = match admit(context.exchanges.len(), threads, command) {
+        Ok(command) => command,
+        Err(report) => return context.refuse_for_limit(&report),
+    };
     let patience = patience(context, &command);
     let held = match &command {
         CallerCommand::Send(head) => Some(request_body(context, head, body)),
         _ => None,
     };
     let Some(open) = context.exchanges.open(Some(connection), held) else {
-        return problem::encode_failure(&FailureReport::new(
+        return context.refuse_for_limit(&FailureReport::new(
             ErrorKind::Overloaded,
             "the daemon holds as many open exchanges as it may",
         ));
