--- a/core/src/draft.rs
+++ b/core/src/draft.rs
@@ -1,5 +1,6 @@
 //! One decision of the main policy while it is made.
 
+use std::cell::OnceCell;
 use std::collections::HashMap;
 use std::collections::HashSet;
 
@@ -56,8 +57,13 @@
     pub(crate) most_accelerators: u32,
     no_room: HashSet<FitKey<'a>>,
     no_claim: HashSet<(GangShape, &'a TeamName, bool)>,
+    pub(crate) no_displacement: HashSet<(GangShape, &'a TeamName, bool)>,
     pub(crate) digest: u64,
     pub(crate) checks: usize,
+    /// Shapes for which this decision has looked for longer borrowed work.
+    pub(crate) displacements: usize,
+    /// What each running job holds, looked up once when it is first needed.
+    released: OnceCell<Vec<ReleasedWork>>,
 }
 
 /// Decides by guarantees, deadlines, fair shares, reservations and reclaim.
@@ -118,8 +124,11 @@
             reserved: Vec::new(),
             no_room: HashSet::new(),
             no_claim: HashSet::new(),
+            no_displacement: HashSet::new(),
             digest,
             checks: 0,
+            displacements: 0,
+            released: OnceCell::new(),
         }
     }
 
@@ -273,6 +282,11 @@
 
     /// Returns the room that a running job holds on usable workers.
     pub(crate) fn released_work(&self, running: usize) -> ReleasedWork {
+        let all = || (0..self.view.running.len()).map(|running| self.held_by(running));
+        self.released.get_or_init(|| all().collect())[running].clone()
+    }
+
+    fn held_by(&self, running: usize) -> ReleasedWork {
         let job = &self.view.running[running];
         let workers = job
             .workers
@@ -394,7 +408,7 @@
                 continue;
             }
             let order = self.view.waiting[position].order;
-            if self.try_place(position) || self.claim(position) {
+            if self.try_place(position) || self.claim(position) || self.displace(position) {
                 let share = self.accounts.dominant_share(&whole_demand(order));
                 queue.charge(&order.team, share);
             } else if !self.refuse(position) {
--- a/standin/src/checker.rs
+++ b/standin/src/checker.rs
@@ -248,6 +248,12 @@
         open.map(|(job, _)| *job).collect()
     }
 
+    /// Returns how often short requests with each key have run, on all workers together.
+    #[must_use]
+    pub const fn runs(&self) -> &IndexMap<RequestKey, u32> {
+        &self.runs
+    }
+
     /// Returns how many tasks have started.
     #[must_use]
     pub const fn starts(&self) -> usize {
@@ -342,12 +348,12 @@
         let mut broken = Vec::new();
         for ((job, attempt), spans) in gangs {
             for (from, until) in partial_runs(&spans, at) {
-                let silent_at = self.last_silence((job, attempt), &spans, (from, until));
-                let bound = match silent_at {
-                    Some(silent_at) => silent_at.since(from) + SILENT_BOUND,
-                    None => self.bound_with_takeovers(from, until),
+                let silence = self.last_silence((job, attempt), &spans, (from, until));
+                let (bound, counted) = match silence {
+                    Some(began) => (SILENT_BOUND, from.max(began)),
+                    None => (self.bound_with_takeovers(from, until), from),
                 };
-                let partial = until.since(from);
+                let partial = until.since(counted);
                 if partial > bound {
                     broken.push(format!(
                         "job {job} attempt {attempt}: {partial} ms, bound {bound} ms"
@@ -366,8 +372,8 @@
         inside.fold(PARTIAL_BOUND, |bound, _| bound + TAKEOVER_BOUND)
     }
 
-    /// Returns when the last silence of a worker of the gang began that touches the partial run.
-    /// The lease of each silent worker lapses by itself, so the bound counts from the last one.
+    /// Returns when the last silence of one of the gang's workers began. A worker that falls silent
+    /// while the silence of another is being noticed takes its own time to be waited out.
     fn last_silence(
         &self,
         gang: (JobId, u32),
@@ -378,11 +384,11 @@
         let workers: Vec<_> = placed
             .chain(spans.iter().map(|span| &span.worker))
             .collect();
-        let touching = self.silences.iter().filter(|silence| {
+        let overlapping = self.silences.iter().filter(|silence| {
             let overlaps = silence.from <= until && silence.until.is_none_or(|end| end >= from);
             overlaps && workers.contains(&&silence.worker)
         });
-        touching.map(|silence| silence.from).max()
+        overlapping.map(|silence| silence.from).max()
     }
 
     fn find_late_starts(&self) -> Vec<String> {
