Draw the inputs of property tests from fixed seeds

Ruled out: a higher number of iterations, which only makes a difference rarer to see.

Change: core/tests/draws gives each input a seed of its own, and bolero's generators turn its bytes into values.

Conclusion: a failure names a seed that reproduces it.

--- /dev/null
+++ b/core/tests/draws/mod.rs
@@ -0,0 +1,34 @@
+//! Inputs of property tests from fixed seeds.
+//!
+//! `bolero::check!` takes all seeds but the first from the system, so its verdict could differ from
+//! run to run. Here each input has a seed of its own, which a failure names.
+
+use std::iter;
+use std::ops::Range;
+
+use bolero::TypeGenerator;
+use bolero::generator::bolero_generator::driver::ByteSliceDriver;
+use bolero::generator::bolero_generator::driver::Options;
+
+/// Draws lists of at most `most` values, one list for each seed.
+pub fn lists<T: TypeGenerator>(
+    seeds: Range<u64>,
+    most: usize,
+) -> impl Iterator<Item = (u64, Vec<T>)> {
+    seeds.map(move |seed| (seed, list(seed, most)))
+}
+
+fn list<T: TypeGenerator>(seed: u64, most: usize) -> Vec<T> {
+    let mut random = fastrand::Rng::with_seed(seed);
+    let bytes: Vec<u8> = iter::repeat_with(|| random.u8(..))
+        .take(most * VALUE_BYTES)
+        .collect();
+    let count = random.usize(1..=most);
+    let mut driver = ByteSliceDriver::new(&bytes, &Options::default());
+    iter::from_fn(|| T::generate(&mut driver))
+        .take(count)
+        .collect()
+}
+
+/// Random bytes for one value; a list ends early when they run out.
+const VALUE_BYTES: usize = 64;
--- a/core/tests/requests/main.rs
+++ b/core/tests/requests/main.rs
@@ -1,6 +1,8 @@
 //! Short requests through the reducer: events in, effects compared, no socket, thread or clock.
 
 mod bench;
+#[path = "../draws/mod.rs"]
+mod draws;
 
 mod keys;
 mod limits;
