Repeat an unconfirmed stop after 1 s

Cause: a longer run of the interleavings found gangs that run in part for 3.1 s against a bound of 2.5 s: connections of the planner go silent, the first stop is never answered, and the next one followed after 3 s, the time a worker may need for a checkpoint.

Ruled out: waiting for the answer before the next stop. A stop is idempotent, and a repeated one costs a message.

Change: stops are repeated each second.

--- a/core/src/ending.rs
+++ b/core/src/ending.rs
@@ -46,7 +46,8 @@
 }
 
 pub(crate) fn send_stops(state: &mut DaemonState, job: JobId, context: &mut StepContext<'_>) {
-    let retry = state.settings.timing.reclaim + state.settings.timing.call;
+    // A stop is idempotent, and one sent on a connection that has gone silent is never answered.
+    let retry = state.settings.timing.call;
     let term = state.ledger.term.number;
     let Some(run) = state.planner.runs.get_mut(&job) else {
         return;
