--- a/core/src/gang.rs
+++ b/core/src/gang.rs
@@ -101,7 +101,7 @@
         return;
     }
     if !granted {
-        plan::avoid_for_now(state, &worker, outcome, context);
+        plan::back_off_worker(state, &worker, outcome, context);
         ending::begin_stop(state, task.job, AttemptEnd::NotStarted, context);
     } else if run.all(|member| *member == MemberState::Reserved) {
         record_placement(state, task.job, context);
@@ -242,7 +242,7 @@
     if runs {
         advance_start(state, task.job, context);
     } else {
-        plan::avoid_for_now(state, &worker, outcome, context);
+        plan::back_off_worker(state, &worker, outcome, context);
         ending::begin_stop(state, task.job, AttemptEnd::NotStarted, context);
     }
 }
--- a/core/src/history.rs
+++ b/core/src/history.rs
@@ -13,7 +13,6 @@
 use crate::ids::DaemonName;
 use crate::ids::JobId;
 use crate::ids::LogOffset;
-use crate::lease;
 use crate::ledger::JobPhase;
 use crate::ledger::LedgerState;
 use crate::ledger::RecordEffect;
@@ -25,6 +24,7 @@
 use crate::record::LogRecord;
 use crate::record::RecordBody;
 use crate::record::StoredRecord;
+use crate::report;
 use crate::request;
 use crate::state::DaemonState;
 use crate::term;
@@ -200,7 +200,7 @@
         }
         RecordBody::DomainSet { domain, .. } => domain::changed(state, domain, context),
         RecordBody::JobPlaced { workers, .. } => {
-            lease::look_after_placement(state, workers, context.at);
+            report::schedule_listing(state, workers, context.at);
         }
         RecordBody::RequestIntent { .. } | RecordBody::RequestDone { .. } | RecordBody::Unknown => {
         }
--- a/core/src/lease.rs
+++ b/core/src/lease.rs
@@ -1,4 +1,4 @@
-//! Leases of the workers in this daemon's share, and what their renewal brings to light.
+//! Leases of the workers in this daemon's share.
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -8,24 +8,15 @@
 use crate::call;
 use crate::call::CallPurpose;
 use crate::context::StepContext;
-use crate::effect::ControlEffect;
 use crate::effect::LogPart;
 use crate::effect::MetricName;
-use crate::effect::PeerMessage;
-use crate::effect::WorkerTasks;
-use crate::gang;
-use crate::ids::JobId;
 use crate::ids::TaskId;
 use crate::ids::WorkerName;
-use crate::ledger;
-use crate::ledger::JobPhase;
 use crate::member;
+use crate::report;
 use crate::state::DaemonState;
-use crate::term;
 use crate::units::ClockTime;
 use crate::units::TimeSpan;
-use crate::worker::TaskOutcome;
-use crate::worker::TaskPhase;
 use crate::worker::TaskStatus;
 use crate::worker::VmState;
 use crate::worker::WorkerCommand;
@@ -120,7 +111,7 @@
             .collect();
     }
 
-    fn schedule(&mut self, worker: &WorkerName, due: ClockTime) {
+    pub(crate) fn schedule(&mut self, worker: &WorkerName, due: ClockTime) {
         let Some(entry) = self.entries.get_mut(worker) else {
             return;
         };
@@ -234,14 +225,14 @@
     if restarted {
         refence(state, worker, context);
     }
-    note_tasks(state, worker, tasks, context);
+    report::note_tasks(state, worker, tasks, context);
     if complete {
-        note_missing(state, worker, tasks, context);
+        report::note_missing(state, worker, tasks, context);
     } else if restarted {
         state.leases.schedule(worker, context.at);
     }
-    report_pending(state, worker, context);
-    forget_recorded(state, worker, context);
+    report::report_pending(state, worker, context);
+    report::forget_recorded(state, worker, context);
 }
 
 /// Tells the term to a worker that may have restarted: it has forgotten the term and would take
@@ -289,7 +280,7 @@
     }
     state.leases.schedule(worker, at + retry);
     if silent {
-        stop_rest_of_gangs(state, worker, context);
+        report::stop_rest_of_gangs(state, worker, context);
     }
     note_loss(state, worker, context);
 }
@@ -310,289 +301,3 @@
         format!("{worker} is lost: its lease has lapsed unanswered"),
     );
 }
-
-/// Keeps the ends of tasks and stops tasks whose attempt is over.
-fn note_tasks(
-    state: &mut DaemonState,
-    worker: &WorkerName,
-    tasks: &[TaskStatus],
-    context: &mut StepContext<'_>,
-) {
-    let mut stale: BTreeMap<JobId, u32> = BTreeMap::new();
-    for status in tasks {
-        let over = state.ledger.is_over(&status.task);
-        match &status.phase {
-            TaskPhase::Ended { .. } => {
-                if let Some(entry) = state.leases.entries.get_mut(worker) {
-                    entry.ended.insert(status.task, status.clone());
-                }
-            }
-            TaskPhase::Running | TaskPhase::Reserved if over => {
-                stale.insert(status.task.job, status.task.attempt);
-            }
-            TaskPhase::Running | TaskPhase::Reserved => {}
-        }
-    }
-    for (job, attempt) in stale {
-        let term = state.ledger.term.number;
-        let command = WorkerCommand::Stop {
-            term,
-            job,
-            attempt,
-            checkpoint: false,
-        };
-        call::send(state, worker, command, CallPurpose::StopStale, context);
-    }
-}
-
-/// Takes tasks that a worker has pushed, and reports their ends at once.
-pub fn take_pushed(
-    state: &mut DaemonState,
-    worker: &WorkerName,
-    tasks: &[TaskStatus],
-    context: &mut StepContext<'_>,
-) {
-    note_tasks(state, worker, tasks, context);
-    let ends = tasks
-        .iter()
-        .filter(|status| matches!(status.phase, TaskPhase::Ended { .. }))
-        .filter(|status| !state.ledger.is_over(&status.task))
-        .cloned()
-        .collect();
-    report(state, worker, ends, context);
-}
-
-/// Hands ends of tasks to the planner, which may be this daemon.
-fn report(
-    state: &mut DaemonState,
-    worker: &WorkerName,
-    tasks: Vec<TaskStatus>,
-    context: &mut StepContext<'_>,
-) {
-    if tasks.is_empty() {
-        return;
-    }
-    if !state
-        .reader
-        .is_fresh(context.at, state.settings.timing.freshness)
-    {
-        tell_all(state, worker, &tasks, context);
-        stop_partial_gangs(state, &tasks, context);
-    }
-    if term::is_planner(state, context.at) {
-        gang::observe(state, worker, &tasks, context);
-        return;
-    }
-    let Some(holder) = ledger::holder(&state.ledger).cloned() else {
-        return;
-    };
-    let Some(entry) = state.members.daemons.get(&holder) else {
-        return;
-    };
-    let reports = vec![WorkerTasks {
-        worker: worker.clone(),
-        tasks,
-    }];
-    context.push(ControlEffect::SendPeer {
-        to: holder,
-        address: entry.info.address.clone(),
-        message: PeerMessage::Reports { reports },
-    });
-}
-
-/// Tells all daemons of ended tasks while the log is out of reach. The planner may be gone and no
-/// successor can take over, so each share holder stops its members of these gangs itself.
-fn tell_all(
-    state: &DaemonState,
-    worker: &WorkerName,
-    tasks: &[TaskStatus],
-    context: &mut StepContext<'_>,
-) {
-    let reports = vec![WorkerTasks {
-        worker: worker.clone(),
-        tasks: tasks.to_vec(),
-    }];
-    for (daemon, entry) in &state.members.daemons {
-        context.push(ControlEffect::SendPeer {
-            to: daemon.clone(),
-            address: entry.info.address.clone(),
-            message: PeerMessage::Reports {
-                reports: reports.clone(),
-            },
-        });
-    }
-}
-
-/// Stops the members on workers of this daemon's share whose gang has lost a member.
-pub fn stop_partial_gangs(
-    state: &mut DaemonState,
-    tasks: &[TaskStatus],
-    context: &mut StepContext<'_>,
-) {
-    let unfinished = tasks.iter().filter(|status| {
-        !matches!(
-            status.phase,
-            TaskPhase::Ended {
-                end: TaskOutcome::Finished { .. }
-            }
-        )
-    });
-    let lost: Vec<TaskId> = unfinished.map(|status| status.task).collect();
-    stop_gangs(state, &lost, context);
-}
-
-/// Lets a worker forget ended tasks whose end is on record.
-fn forget_recorded(state: &mut DaemonState, worker: &WorkerName, context: &mut StepContext<'_>) {
-    let Some(entry) = state.leases.entries.get(worker) else {
-        return;
-    };
-    let tasks: Vec<TaskId> = entry
-        .ended
-        .keys()
-        .filter(|task| state.ledger.is_over(task))
-        .copied()
-        .collect();
-    if tasks.is_empty() {
-        return;
-    }
-    if let Some(entry) = state.leases.entries.get_mut(worker) {
-        entry.ended.retain(|task, _| !tasks.contains(task));
-    }
-    call::send(
-        state,
-        worker,
-        WorkerCommand::Forget { tasks },
-        CallPurpose::Forget,
-        context,
-    );
-}
-
-/// Notes placed tasks that their worker does not know as ended: a restart or a lapsed lease has
-/// ended them. Tasks that may not have been started yet are looked for again.
-fn note_missing(
-    state: &mut DaemonState,
-    worker: &WorkerName,
-    tasks: &[TaskStatus],
-    context: &mut StepContext<'_>,
-) {
-    let started_before = context.at - start_time(state);
-    let (missing, recent): (Vec<TaskId>, Vec<TaskId>) = state
-        .ledger
-        .tasks_on(worker)
-        .filter(|task| !tasks.iter().any(|status| status.task == *task))
-        .partition(|task| placed_before(state, task, started_before));
-    let Some(entry) = state.leases.entries.get_mut(worker) else {
-        return;
-    };
-    if !recent.is_empty() {
-        entry.revision = 0;
-    }
-    let known = entry.ended.len();
-    for task in missing {
-        entry.ended.entry(task).or_insert_with(|| gone_status(task));
-    }
-    let count = entry.ended.len() - known;
-    if count > 0 {
-        let line = format!("{worker} no longer has {count} placed tasks");
-        context.warn(LogPart::Lease, line);
-    }
-}
-
-/// Reports all ends that are not on record. A report is lost when the planner changes, pauses or is
-/// out of reach, so it is repeated with each renewal.
-fn report_pending(state: &mut DaemonState, worker: &WorkerName, context: &mut StepContext<'_>) {
-    let Some(entry) = state.leases.entries.get(worker) else {
-        return;
-    };
-    let pending = entry.ended.values();
-    let pending = pending
-        .filter(|status| !state.ledger.is_over(&status.task))
-        .cloned()
-        .collect();
-    report(state, worker, pending, context);
-}
-
-fn placed_before(state: &DaemonState, task: &TaskId, limit: ClockTime) -> bool {
-    match state.ledger.jobs.get(&task.job).map(|record| &record.phase) {
-        Some(JobPhase::Placed { at, .. }) => *at < limit,
-        _ => false,
-    }
-}
-
-fn gone_status(task: TaskId) -> TaskStatus {
-    TaskStatus {
-        task,
-        phase: TaskPhase::Ended {
-            end: TaskOutcome::Stopped,
-        },
-        progress: TimeSpan::default(),
-        checkpoint: TimeSpan::default(),
-    }
-}
-
-/// Stops the members of gangs that have lost a member on a silent worker, without the log. Only
-/// members on workers of this daemon's share are stopped; other daemons learn of the silence by
-/// heartbeat and stop theirs.
-pub fn stop_rest_of_gangs(
-    state: &mut DaemonState,
-    silent: &WorkerName,
-    context: &mut StepContext<'_>,
-) {
-    if state
-        .reader
-        .is_fresh(context.at, state.settings.timing.freshness)
-    {
-        // The planner can record the end of the attempt and stops the members itself.
-        return;
-    }
-    let lost: Vec<TaskId> = state.ledger.tasks_on(silent).collect();
-    stop_gangs(state, &lost, context);
-}
-
-/// Stops all members of the attempts that these tasks belong to, on workers of the share.
-fn stop_gangs(state: &mut DaemonState, lost: &[TaskId], context: &mut StepContext<'_>) {
-    let mut stops: BTreeSet<(WorkerName, JobId, u32)> = BTreeSet::new();
-    for task in lost {
-        let Some(record) = state.ledger.jobs.get(&task.job) else {
-            continue;
-        };
-        let JobPhase::Placed { workers, .. } = &record.phase else {
-            continue;
-        };
-        let mine = workers
-            .iter()
-            .filter(|worker| state.leases.entries.contains_key(*worker));
-        if record.attempt == task.attempt {
-            stops.extend(mine.map(|worker| (worker.clone(), task.job, task.attempt)));
-        }
-    }
-    let term = state.ledger.term.number;
-    for (worker, job, attempt) in stops {
-        let command = WorkerCommand::Stop {
-            term,
-            job,
-            attempt,
-            checkpoint: true,
-        };
-        call::send(state, &worker, command, CallPurpose::StopStale, context);
-    }
-}
-
-/// Lists the tasks of the workers of a new placement once its starts are over, so that a member
-/// that never started is noticed even when the planner is gone.
-pub fn look_after_placement(state: &mut DaemonState, workers: &[WorkerName], at: ClockTime) {
-    let due = at + start_time(state);
-    for worker in workers {
-        if let Some(entry) = state.leases.entries.get_mut(worker) {
-            entry.revision = 0;
-            let due = due.min(entry.due);
-            state.leases.schedule(worker, due);
-        }
-    }
-}
-
-/// Returns the time after a placement in which its starts arrive or are refused.
-fn start_time(state: &DaemonState) -> TimeSpan {
-    let timing = &state.settings.timing;
-    timing.reservation + timing.call + timing.clock_margin
-}
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -56,6 +56,7 @@
 pub mod recovery;
 pub mod reducer;
 pub mod relocate;
+pub mod report;
 pub mod request;
 pub mod reservation;
 pub mod retry;
--- a/core/src/plan.rs
+++ b/core/src/plan.rs
@@ -206,7 +206,7 @@
 }
 
 /// Gives a worker no new work for a short time after it refused or did not answer.
-pub fn avoid_for_now(
+pub fn back_off_worker(
     state: &mut DaemonState,
     worker: &WorkerName,
     outcome: &CallOutcome,
--- a/core/src/reducer.rs
+++ b/core/src/reducer.rs
@@ -15,6 +15,7 @@
 use crate::lease;
 use crate::member;
 use crate::plan;
+use crate::report;
 use crate::request;
 use crate::shutdown;
 use crate::state::DaemonState;
@@ -58,7 +59,7 @@
             call::answered(state, *call, worker, outcome, context);
         }
         EventInput::WorkerReport { worker, tasks } => {
-            lease::take_pushed(state, worker, tasks, context);
+            report::take_pushed(state, worker, tasks, context);
         }
         EventInput::EndpointAnswer {
             request,
@@ -97,7 +98,7 @@
             gang::observe(state, &report.worker, &report.tasks, context);
         }
         if !fresh {
-            lease::stop_partial_gangs(state, &report.tasks, context);
+            report::stop_partial_gangs(state, &report.tasks, context);
         }
     }
 }
