--- a/core/src/history.rs
+++ b/core/src/history.rs
@@ -251,7 +251,7 @@
 
 /// Answers those who have waited too long for the log.
 fn give_up_late(state: &mut DaemonState, context: &mut StepContext<'_>) {
-    let limit = context.at - state.settings.timing.append_patience;
+    let limit = context.at - state.settings.timing.append_timeout;
     for settled in state.outbox.withdraw_unsent(limit) {
         match settled.purpose {
             RecordPurpose::Submit { caller } | RecordPurpose::Publish { caller } => {
--- a/core/src/progress.rs
+++ b/core/src/progress.rs
@@ -15,6 +15,9 @@
 use crate::units::ClockTime;
 use crate::units::TimeSpan;
 
+/// Milliseconds of a minute.
+const MINUTE_MS: u64 = 60_000;
+
 /// Estimates the time until no task runs in a failure domain, or returns `None` while it is in
 /// service.
 ///
@@ -37,7 +40,14 @@
     let longest = inside
         .map(|(record, _, since)| time_left(state, record, since, at))
         .max();
-    Some(longest.unwrap_or_default())
+    Some(longest.map(rounded_up).unwrap_or_default())
+}
+
+/// Rounds an estimate up to whole seconds, and to whole minutes above one, because declared run
+/// times are no more exact than that.
+fn rounded_up(span: TimeSpan) -> TimeSpan {
+    let unit = if span.0 > MINUTE_MS { MINUTE_MS } else { 1_000 };
+    TimeSpan(span.0.div_ceil(unit) * unit)
 }
 
 fn placement(record: &JobRecord) -> Option<(&[WorkerName], ClockTime)> {
--- a/core/src/settings.rs
+++ b/core/src/settings.rs
@@ -87,7 +87,7 @@
     pub append_interval: TimeSpan,
     /// Time after which a caller is told that the outcome of its append is unknown.
     #[serde_as(as = "SpanText")]
-    pub append_patience: TimeSpan,
+    pub append_timeout: TimeSpan,
     /// Life of a reservation on a worker.
     #[serde_as(as = "SpanText")]
     pub reservation: TimeSpan,
@@ -146,7 +146,7 @@
             log_wait: TimeSpan(500),
             log_retry: TimeSpan(500),
             append_interval: TimeSpan(50),
-            append_patience: TimeSpan::from_secs(3),
+            append_timeout: TimeSpan::from_secs(3),
             reservation: TimeSpan::from_secs(3),
             lease: TimeSpan::from_secs(45),
             lease_renewal: TimeSpan::from_secs(15),
--- a/src/generator.rs
+++ b/src/generator.rs
@@ -31,7 +31,7 @@
     /// A failure domain goes out, loses power and returns.
     DomainOut,
     /// Workers that fail every task, and jobs that fail everywhere.
-    SickWorkers,
+    FaultyWorkers,
 }
 
 /// How a trace is made.
@@ -175,7 +175,7 @@
             }
             Disturbance::Cancellations => self.cancel_half(middle),
             Disturbance::DomainOut => self.take_out(middle, domain),
-            Disturbance::SickWorkers => self.make_sick(middle, domain),
+            Disturbance::FaultyWorkers => self.make_faulty(middle, domain),
         }
     }
 
@@ -214,13 +214,13 @@
     }
 
     /// Makes every eighth worker of a domain fail for 3 h, and every 40th job faulty.
-    fn make_sick(&mut self, middle: u64, domain: &str) {
+    fn make_faulty(&mut self, middle: u64, domain: &str) {
         let workers = self.trace.workers();
-        let sick = workers.iter().filter(|info| info.domain.as_str() == domain);
-        for info in sick.step_by(8) {
-            for (at_ms, sick) in [(middle, true), (middle + 3 * HOUR_MS, false)] {
+        let faulty = workers.iter().filter(|info| info.domain.as_str() == domain);
+        for info in faulty.step_by(8) {
+            for (at_ms, faulty) in [(middle, true), (middle + 3 * HOUR_MS, false)] {
                 let worker = info.worker.clone();
-                self.push(at_ms, TraceInput::Sick { worker, sick });
+                self.push(at_ms, TraceInput::Faulty { worker, faulty });
             }
         }
         for event in self.trace.events.iter_mut().step_by(40) {
--- a/src/replay.rs
+++ b/src/replay.rs
@@ -121,9 +121,9 @@
         105,
     ),
     named(
-        "thanh-lam-sick-workers",
+        "thanh-lam-faulty-workers",
         DeploymentKind::ThanhLam,
-        Disturbance::SickWorkers,
+        Disturbance::FaultyWorkers,
         106,
     ),
     named(
@@ -151,9 +151,9 @@
         204,
     ),
     named(
-        "cordillera-sick-workers",
+        "cordillera-faulty-workers",
         DeploymentKind::Cordillera,
-        Disturbance::SickWorkers,
+        Disturbance::FaultyWorkers,
         205,
     ),
     named("target-day", DeploymentKind::Target, Disturbance::None, 301),
--- a/src/replay_state.rs
+++ b/src/replay_state.rs
@@ -68,7 +68,7 @@
     pub(crate) now_ms: u64,
     pub(crate) workers: IndexMap<WorkerName, WorkerSlot>,
     pub(crate) dark: Vec<bool>,
-    pub(crate) sick: Vec<bool>,
+    pub(crate) faulty: Vec<bool>,
     pub(crate) teams: IndexMap<TeamName, TeamFile>,
     pub(crate) jobs: IndexMap<JobId, ReplayJob>,
     pub(crate) memory: PolicyMemory,
--- a/src/simulation.rs
+++ b/src/simulation.rs
@@ -39,7 +39,7 @@
 const START_MS: u64 = 1_700_000_000_000;
 /// Time that a victim has for its checkpoint.
 const STOP_DELAY_MS: u64 = 2_000;
-/// Run time after which a faulty job or a job on a sick worker fails.
+/// Run time after which a faulty job or a job on a faulty worker fails.
 const FAILURE_MS: u64 = 20_000;
 /// Time between two decisions while jobs wait and nothing happens.
 const WAKE_MS: u64 = 5_000;
@@ -60,7 +60,7 @@
     let mut state = ReplayState {
         now_ms: START_MS,
         dark: vec![false; workers.len()],
-        sick: vec![false; workers.len()],
+        faulty: vec![false; workers.len()],
         guaranteed: largest_guarantee(&teams),
         workers,
         teams,
@@ -155,9 +155,9 @@
                 self.out_since = out.then_some(self.now_ms);
             }
             TraceInput::Power { domain, up } => self.power(domain.as_str(), *up),
-            TraceInput::Sick { worker, sick } => {
+            TraceInput::Faulty { worker, faulty } => {
                 if let Some(index) = self.workers.get_index_of(worker) {
-                    self.sick[index] = *sick;
+                    self.faulty[index] = *faulty;
                 }
             }
         }
@@ -249,11 +249,11 @@
         }
         let started = self.now_ms + START_DELAY_MS;
         let left = job.actual_ms.saturating_sub(job.checkpoint_ms).max(1);
-        let is_sick = |worker| {
+        let is_faulty = |worker| {
             let index = self.workers.get_index_of(worker);
-            index.is_some_and(|index| self.sick[index])
+            index.is_some_and(|index| self.faulty[index])
         };
-        let fails = job.faulty || workers.iter().any(is_sick);
+        let fails = job.faulty || workers.iter().any(is_faulty);
         let due = if fails {
             (started + FAILURE_MS.min(left), DueKind::Fail)
         } else {
@@ -323,11 +323,11 @@
     fn fail(&mut self, id: JobId) {
         let run = self.jobs[&id].run.as_ref();
         let workers = run.map_or(Vec::new(), |run| run.workers.clone());
-        let is_sick = |worker: &&WorkerName| {
+        let is_faulty = |worker: &&WorkerName| {
             let index = self.workers.get_index_of(*worker);
-            index.is_some_and(|index| self.sick[index])
+            index.is_some_and(|index| self.faulty[index])
         };
-        let culprit = workers.iter().find(is_sick).or(workers.first()).cloned();
+        let culprit = workers.iter().find(is_faulty).or(workers.first()).cloned();
         let verdict = self.observe(id, culprit.as_ref(), false);
         self.lose(id);
         let job = &mut self.jobs[&id];
--- a/src/trace.rs
+++ b/src/trace.rs
@@ -88,11 +88,11 @@
         up: bool,
     },
     /// A worker begins or ceases to fail every task.
-    Sick {
+    Faulty {
         /// The worker.
         worker: WorkerName,
         /// Whether it fails every task.
-        sick: bool,
+        faulty: bool,
     },
 }
 
--- a/tests/refusals.rs
+++ b/tests/refusals.rs
@@ -220,6 +220,10 @@
     let reply = caller.post("/v1/jobs", &key("a"), b"no json", PATIENCE);
     check_problem(&reply.expect("reply"), 400, "bad_request");
 
+    let gang = br#"{ "service": "analysis", "members": 64 }"#;
+    let reply = caller.post("/v1/jobs", &key("b"), gang, PATIENCE);
+    check_problem(&reply.expect("reply"), 422, "never_fits");
+
     let body = vec![b'x'; (1 << 20) + 1];
     let reply = caller.post("/v1/requests/check", &key("a"), &body, PATIENCE);
     check_problem(&reply.expect("reply"), 413, "too_large");
--- a/tests/replay.rs
+++ b/tests/replay.rs
@@ -57,7 +57,7 @@
         Disturbance::WrongDeclarations,
         Disturbance::Cancellations,
         Disturbance::DomainOut,
-        Disturbance::SickWorkers,
+        Disturbance::FaultyWorkers,
     ];
     for disturbance in disturbances {
         let trace = generate(recipe(DeploymentKind::Cordillera, disturbance));
