Test that a key of a silent daemon becomes unknown

Cause: a key whose sender was killed stayed in progress at all other daemons until the sender came back; the fix had no test of its own.

Without the recency check of the heartbeat, a_key_of_a_silent_daemon_is_unknown fails.

--- a/core/tests/requests/keys.rs
+++ b/core/tests/requests/keys.rs
@@ -3,6 +3,7 @@
 use crate::bench::TestDaemon;
 use crate::bench::answered;
 use crate::bench::head;
+use crate::routes::hear;
 use mustardpath_core::effect::CallerAnswer;
 use mustardpath_core::effect::ControlEffect;
 use mustardpath_core::event::EndpointOutcome;
@@ -49,6 +50,23 @@
     assert_eq!(second.failure(caller), ErrorKind::OutcomeUnknown);
 }
 
+/// Guards against a key that stays "in progress" for good after the daemon that sent its request
+/// has died: the last heartbeat counts only while it is recent.
+#[test]
+fn a_key_of_a_silent_daemon_is_unknown() {
+    let mut first = TestDaemon::new("d0", 3);
+    let mut second = TestDaemon::new("d1", 3);
+    hear(&mut second, "d0", false);
+    first.send(&head("tea", "book", Some("k1")));
+    let records = first.take_appends();
+    second.read(&records);
+    let caller = second.send(&head("tea", "book", Some("k1")));
+    assert_eq!(second.failure(caller), ErrorKind::InProgress);
+    second.advance(7_000);
+    let caller = second.send(&head("tea", "book", Some("k1")));
+    assert_eq!(second.failure(caller), ErrorKind::OutcomeUnknown);
+}
+
 /// Guards against a second intent of one daemon with a key that it uses already.
 #[test]
 fn an_open_key_is_in_progress() {
--- a/core/tests/requests/routes.rs
+++ b/core/tests/requests/routes.rs
@@ -64,7 +64,8 @@
     }
 }
 
-fn hear(daemon: &mut TestDaemon, from: &str, draining: bool) {
+/// Lets a daemon hear a heartbeat of another one.
+pub fn hear(daemon: &mut TestDaemon, from: &str, draining: bool) {
     let heartbeat = heartbeat(daemon, draining);
     daemon.apply(EventInput::Peer {
         from: from.into(),
