--- /dev/null
+++ b/core/src/batch/life.rs
@@ -0,0 +1,230 @@
+//! Workers as the planner sees them: one life each, with its lease, its runs and its ends.
+
+use indexmap::IndexMap;
+use indexmap::IndexSet;
+
+use crate::batch::job::JobKey;
+use crate::batch::job::RunKey;
+use crate::batch::job::TaskDemand;
+use crate::batch::job::TaskKey;
+use crate::batch::job::WorkerCondition;
+use crate::batch::job::WorkerEntry;
+use crate::ids::TeamName;
+use crate::units::ClockTime;
+use crate::units::TimeSpan;
+
+/// A worker's clock may run this much slower than ours, in thousandths.
+const CLOCK_DRIFT: u64 = 21;
+
+/// Allowance on the end of a lease for times that are rounded to milliseconds.
+const LEASE_SLACK: TimeSpan = TimeSpan(100);
+
+/// Time without an answer after which a worker gets no new tasks.
+const HEARD_AGE: TimeSpan = TimeSpan(2_600);
+
+/// Time that a worker gets no new tasks after it has refused or not answered one.
+const AVOID_TIME: TimeSpan = TimeSpan(1_500);
+
+/// Time that a worker gets no new tasks after runs of several jobs have failed there.
+const QUARANTINE_TIME: TimeSpan = TimeSpan(6_000);
+
+/// Jobs with a failed run, without a success between them, that put a worker into quarantine.
+const QUARANTINE_JOBS: usize = 2;
+
+/// How far a run has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RunPhase {
+    /// Its placement is on the way into the log. Nothing was sent.
+    Recorded,
+    /// Its start was sent and not answered.
+    Sent,
+    /// The worker has begun it.
+    Running,
+    /// An earlier planner placed it; the worker has not been asked.
+    Inherited,
+    /// The worker runs it without a placement on record.
+    Foreign,
+}
+
+/// A stop that was sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct StopMark {
+    /// When it was last sent.
+    pub sent: ClockTime,
+    /// When the worker answered it.
+    pub answered: Option<ClockTime>,
+}
+
+/// A run that takes room on a worker.
+#[derive(Clone, Debug)]
+pub struct RunSlot {
+    /// What it takes.
+    pub demand: TaskDemand,
+    /// Its queue's priority.
+    pub priority: u32,
+    /// Its team.
+    pub team: Option<TeamName>,
+    /// Whether it belongs to a gang.
+    pub gang: bool,
+    /// How far it has come.
+    pub phase: RunPhase,
+    /// When the phase began.
+    pub since: ClockTime,
+    /// When it was placed.
+    pub placed: ClockTime,
+    /// Its expected run time.
+    pub expected: TimeSpan,
+    /// Its progress in percent.
+    pub percent: u32,
+    /// Sendings of its start.
+    pub sendings: u32,
+    /// Whether a start may still be carried out although it was not answered.
+    pub unclear: bool,
+    /// Whether it has to make room.
+    pub evicted: bool,
+    /// Its stop, once one was sent.
+    pub stop: Option<StopMark>,
+    /// Its newest checkpoint.
+    pub checkpoint: String,
+}
+
+/// The hold that renews a worker's lease.
+#[derive(Clone, Debug, Default)]
+pub struct HoldState {
+    /// When the hold in flight was sent.
+    pub sent: Option<ClockTime>,
+    /// When the next one is due.
+    pub due: ClockTime,
+    /// When the last one was answered.
+    pub heard: Option<ClockTime>,
+    /// Holds without an answer since.
+    pub failures: u32,
+}
+
+/// One life of a worker.
+#[derive(Clone, Debug)]
+pub struct WorkerLife {
+    /// What it says of itself, unless its entry is gone.
+    pub entry: Option<WorkerEntry>,
+    /// When its life began, by its own account.
+    pub born: u64,
+    /// Its clock and when it was read.
+    pub clock: Option<(u64, ClockTime)>,
+    /// When everything on it has certainly ended unless its lease is renewed.
+    pub lapses: ClockTime,
+    /// Whether it has listed its runs in this term.
+    pub listed: bool,
+    /// The highest number of an end that was taken in.
+    pub taken: u64,
+    /// Ends whose records are on the way into the log.
+    pub pending: IndexSet<u64>,
+    /// Runs that take room on it.
+    pub runs: IndexMap<RunKey, RunSlot>,
+    /// Its hold.
+    pub hold: HoldState,
+    /// Until when it gets no new tasks.
+    pub avoid: ClockTime,
+    /// Jobs with a failed run since its last success.
+    pub failed_jobs: IndexSet<JobKey>,
+}
+
+impl WorkerLife {
+    /// Creates a life of which nothing is known but its beginning.
+    #[must_use]
+    pub fn new(born: u64, at: ClockTime) -> Self {
+        Self {
+            entry: None,
+            born,
+            clock: None,
+            lapses: at,
+            listed: false,
+            taken: 0,
+            pending: IndexSet::new(),
+            runs: IndexMap::new(),
+            hold: HoldState::default(),
+            avoid: ClockTime(0),
+            failed_jobs: IndexSet::new(),
+        }
+    }
+
+    /// Returns the end of a lease from now on by the worker's clock, once its clock is known.
+    #[must_use]
+    pub fn lease_end(&self, lease: TimeSpan, at: ClockTime) -> Option<u64> {
+        let (clock, read) = self.clock?;
+        Some(clock + at.since(read).0 + lease.0)
+    }
+
+    /// Notes that a lease up to `end` by the worker's clock was asked for.
+    pub fn lease_asked(&mut self, end: u64) {
+        let Some((clock, read)) = self.clock else {
+            return;
+        };
+        let span = end.saturating_sub(clock);
+        let span = TimeSpan(span + span * CLOCK_DRIFT / 1_000);
+        self.lapses = self.lapses.max(read + span + LEASE_SLACK);
+    }
+
+    /// Returns the longest time for which a worker can hold a lease of `max_lease`.
+    #[must_use]
+    pub fn longest_lease(max_lease: TimeSpan) -> TimeSpan {
+        TimeSpan(max_lease.0 + max_lease.0 * CLOCK_DRIFT / 1_000) + LEASE_SLACK
+    }
+
+    /// Returns the number up to which the worker may forget its ends.
+    #[must_use]
+    pub fn seen(&self) -> u64 {
+        let first = self.pending.iter().min();
+        first.map_or(self.taken, |first| first - 1)
+    }
+
+    /// Returns the room that is left.
+    #[must_use]
+    pub fn free(&self) -> TaskDemand {
+        let mut room = self
+            .entry
+            .as_ref()
+            .map(|entry| entry.capacity)
+            .unwrap_or_default();
+        for slot in self.runs.values() {
+            room.take(&slot.demand);
+        }
+        room
+    }
+
+    /// Tells whether the worker can get new tasks.
+    #[must_use]
+    pub fn is_usable(&self, at: ClockTime) -> bool {
+        let is_heard = self
+            .hold
+            .heard
+            .is_some_and(|heard| at.since(heard) < HEARD_AGE);
+        let entry = self.entry.as_ref();
+        entry.is_some_and(|entry| entry.condition == WorkerCondition::Ready)
+            && self.listed
+            && is_heard
+            && self.hold.failures == 0
+            && at >= self.avoid
+    }
+
+    /// Notes that the worker has refused or not answered an order.
+    pub fn avoid_for_a_while(&mut self, at: ClockTime) {
+        self.avoid = self.avoid.max(at + AVOID_TIME);
+    }
+
+    /// Notes a failed run. Returns whether the worker goes into quarantine.
+    ///
+    /// One job can fail by its own fault, so failures count by job.
+    pub fn run_failed(&mut self, task: &TaskKey, at: ClockTime) -> bool {
+        self.failed_jobs.insert(task.step.job);
+        let is_suspect = self.failed_jobs.len() >= QUARANTINE_JOBS;
+        if is_suspect {
+            self.avoid = self.avoid.max(at + QUARANTINE_TIME);
+        }
+        is_suspect
+    }
+
+    /// Notes a run that is done.
+    pub fn run_done(&mut self) {
+        self.failed_jobs.clear();
+    }
+}
--- /dev/null
+++ b/core/src/batch/mod.rs
@@ -0,0 +1,31 @@
+//! Batch jobs: jobs of steps of tasks, which one planner places on workers under leases.
+//!
+//! Everything that lasts is in one keyed topic of the platform's store. Each daemon follows it
+//! and derives the same [`book::JobBook`]; the holder of the newest term plans. The inputs and
+//! effects are in [`message`], and [`reducer::apply`](crate::reducer::apply) is the only way in.
+
+pub mod book;
+pub mod catalog;
+mod ends;
+pub mod evict;
+pub mod intake;
+pub mod job;
+pub mod life;
+pub mod message;
+pub mod orders;
+pub mod placement;
+pub mod planner;
+pub mod record;
+pub mod round;
+pub mod settings;
+pub mod state;
+mod step;
+pub mod tail;
+pub mod term;
+pub mod unit;
+pub mod writer;
+
+pub use step::apply;
+pub use step::reload;
+pub use step::stop;
+pub use step::tick;
--- /dev/null
+++ b/core/src/batch/orders.rs
@@ -0,0 +1,471 @@
+//! Orders to workers: holds, starts and stops, and what their answers mean.
+
+use crate::batch::ends;
+use crate::batch::job::RunKey;
+use crate::batch::job::WorkerCondition;
+use crate::batch::life::RunPhase;
+use crate::batch::life::StopMark;
+use crate::batch::life::WorkerLife;
+use crate::batch::message::BatchEffect;
+use crate::batch::message::OrderOutcome;
+use crate::batch::message::OrderRefusal;
+use crate::batch::message::WorkerOrder;
+use crate::batch::planner;
+use crate::batch::planner::OpenOrder;
+use crate::batch::planner::OrderKind;
+use crate::batch::planner::PlannerState;
+use crate::batch::state::BatchState;
+use crate::batch::term;
+use crate::context::StepContext;
+use crate::effect::ControlEffect;
+use crate::effect::LogPart;
+use crate::ids::CallId;
+use crate::ids::WorkerName;
+use crate::units::ClockTime;
+use crate::units::TimeSpan;
+
+/// Longest lease that the planner asks for. It outlasts a takeover.
+const LEASE: TimeSpan = TimeSpan(6_000);
+
+/// Wait of a hold at a worker that runs tasks.
+const BUSY_WAIT: TimeSpan = TimeSpan(1_000);
+
+/// Wait of a hold at a worker that runs nothing.
+const IDLE_WAIT: TimeSpan = TimeSpan(1_500);
+
+/// Time for an answer of a worker beyond the wait that was asked for.
+const ORDER_TIME: TimeSpan = TimeSpan(600);
+
+/// Wait before a hold that failed is sent again.
+const HOLD_RETRY: TimeSpan = TimeSpan(150);
+
+/// Longest pause of holds while ends are on their way into the log.
+const RECORD_PAUSE: TimeSpan = TimeSpan(500);
+
+/// Sendings of one start.
+const START_SENDINGS: u32 = 2;
+
+/// Wait before a stop is sent again that was not answered, or not followed by an end.
+const STOP_RETRY: TimeSpan = TimeSpan(600);
+
+/// Sends the start of a run whose placement was read back.
+pub fn begin(
+    state: &mut BatchState,
+    worker: &WorkerName,
+    run: RunKey,
+    context: &mut StepContext<'_>,
+) {
+    let Some(planner) = &mut state.planner else {
+        return;
+    };
+    let Some(life) = planner.workers.get(worker) else {
+        return;
+    };
+    let slot = life.runs.get(&run);
+    if slot.is_none_or(|slot| slot.phase != RunPhase::Recorded) {
+        return;
+    }
+    let is_out = |entry: &crate::batch::job::WorkerEntry| {
+        entry.condition != WorkerCondition::Ready || state.domains_out.contains(&entry.domain)
+    };
+    if life.entry.as_ref().is_none_or(is_out) {
+        let line = format!("run={run} worker={worker} outcome=withdrawn reason=\"worker left\"");
+        context.info(LogPart::Gang, line);
+        planner::run_gone(state, worker, run, context);
+        return;
+    }
+    send_start(state, worker, run, context);
+}
+
+/// Sends what is due: holds, repeated starts and stops.
+pub fn tick(state: &mut BatchState, context: &mut StepContext<'_>) {
+    let Some(planner) = &state.planner else {
+        return;
+    };
+    let at = context.at;
+    let due = planner.workers.iter().filter(|(_, life)| {
+        life.entry.is_some() && life.hold.sent.is_none() && life.hold.due <= at
+    });
+    let due: Vec<WorkerName> = due.map(|(worker, _)| worker.clone()).collect();
+    for worker in due {
+        send_hold(state, &worker, context);
+    }
+    lapse(state, context);
+    sweep(state, context);
+}
+
+/// Takes the outcome of an order.
+pub fn answered(
+    state: &mut BatchState,
+    call: CallId,
+    outcome: &OrderOutcome,
+    context: &mut StepContext<'_>,
+) {
+    let Some(planner) = &mut state.planner else {
+        return;
+    };
+    let Some(order) = planner.take_order(call) else {
+        return;
+    };
+    let Some(life) = planner.workers.get_mut(&order.worker) else {
+        return;
+    };
+    if life.born != order.born {
+        return;
+    }
+    if let OrderOutcome::Refused {
+        refusal: OrderRefusal::Fenced,
+        ..
+    } = outcome
+    {
+        let reason = format!("{} has seen a newer term", order.worker);
+        return term::resign(state, &reason, context);
+    }
+    let clock = match outcome {
+        OrderOutcome::Done { clock, .. } => Some(*clock),
+        OrderOutcome::Refused { clock, .. } => *clock,
+        OrderOutcome::Undelivered | OrderOutcome::Unknown => None,
+    };
+    if let Some(clock) = clock {
+        life.clock = Some((clock, context.at));
+    }
+    match order.kind {
+        OrderKind::Hold => hold_answered(state, &order, outcome, context),
+        OrderKind::Start(run) => start_answered(state, &order, run, outcome, context),
+        OrderKind::Stop(run) => stop_answered(state, &order, run, outcome, context),
+    }
+}
+
+fn send(
+    planner: &mut PlannerState,
+    worker: &WorkerName,
+    kind: OrderKind,
+    order: WorkerOrder,
+    timeout: TimeSpan,
+    context: &mut StepContext<'_>,
+) {
+    let Some(life) = planner.workers.get(worker) else {
+        return;
+    };
+    let Some(entry) = &life.entry else { return };
+    planner.last_order += 1;
+    let call = CallId(planner.last_order);
+    let open = OpenOrder {
+        worker: worker.clone(),
+        born: life.born,
+        sent: context.at,
+        kind,
+    };
+    context.push(ControlEffect::Batch(BatchEffect::Order {
+        call,
+        worker: worker.clone(),
+        address: entry.address.clone(),
+        term: planner.term,
+        order,
+        timeout,
+    }));
+    planner.orders.insert(call, open);
+}
+
+fn lease(state: &BatchState) -> TimeSpan {
+    LEASE.min(state.settings.max_lease)
+}
+
+fn send_hold(state: &mut BatchState, worker: &WorkerName, context: &mut StepContext<'_>) {
+    let lease = lease(state);
+    let Some(planner) = &mut state.planner else {
+        return;
+    };
+    let Some(life) = planner.workers.get_mut(worker) else {
+        return;
+    };
+    let lease_end = life.lease_end(lease, context.at);
+    if let Some(end) = lease_end {
+        life.lease_asked(end);
+    }
+    let wait = if !life.listed || !life.pending.is_empty() || lease_end.is_none() {
+        TimeSpan(0)
+    } else if life.runs.is_empty() {
+        IDLE_WAIT
+    } else {
+        BUSY_WAIT
+    };
+    let order = WorkerOrder::Hold {
+        lease_end,
+        seen: life.seen(),
+        wait,
+    };
+    life.hold.sent = Some(context.at);
+    let timeout = wait + ORDER_TIME;
+    send(planner, worker, OrderKind::Hold, order, timeout, context);
+}
+
+fn hold_answered(
+    state: &mut BatchState,
+    order: &OpenOrder,
+    outcome: &OrderOutcome,
+    context: &mut StepContext<'_>,
+) {
+    let Some(planner) = &mut state.planner else {
+        return;
+    };
+    let Some(life) = planner.workers.get_mut(&order.worker) else {
+        return;
+    };
+    life.hold.sent = None;
+    let OrderOutcome::Done { lists, .. } = outcome else {
+        life.hold.failures += 1;
+        life.hold.due = context.at + HOLD_RETRY;
+        if life.hold.failures == 2 {
+            let line = format!("worker={} outcome=silent reason={outcome:?}", order.worker);
+            context.warn(LogPart::Lease, line);
+        }
+        let is_other_life = matches!(
+            outcome,
+            OrderOutcome::Refused {
+                refusal: OrderRefusal::OtherLife,
+                ..
+            }
+        );
+        if is_other_life {
+            life.entry = None;
+            planner::end_life(state, &order.worker, "another life answered", context);
+        }
+        return;
+    };
+    if life.hold.failures > 0 || !life.listed {
+        planner.dirty = true;
+    }
+    life.hold.failures = 0;
+    life.hold.heard = Some(context.at);
+    if let Some(lists) = lists {
+        ends::take_lists(state, &order.worker, order.sent, lists, context);
+    }
+    let Some(planner) = &mut state.planner else {
+        return;
+    };
+    if let Some(life) = planner.workers.get_mut(&order.worker) {
+        let is_recording = !life.pending.is_empty();
+        life.hold.due = if is_recording {
+            context.at + RECORD_PAUSE
+        } else {
+            context.at
+        };
+        if !is_recording {
+            send_hold(state, &order.worker.clone(), context);
+        }
+    }
+}
+
+fn send_start(
+    state: &mut BatchState,
+    worker: &WorkerName,
+    run: RunKey,
+    context: &mut StepContext<'_>,
+) {
+    let lease = lease(state);
+    let planner = state.planner.as_ref();
+    let life = planner.and_then(|planner| planner.workers.get(worker));
+    let lease_end = life.and_then(|life| life.lease_end(lease, context.at));
+    let order = lease_end.and_then(|end| planner::start_order(state, run, end));
+    let (Some(order), Some(lease_end)) = (order, lease_end) else {
+        planner::run_gone(state, worker, run, context);
+        return;
+    };
+    let Some(planner) = &mut state.planner else {
+        return;
+    };
+    let Some(life) = planner.workers.get_mut(worker) else {
+        return;
+    };
+    life.lease_asked(lease_end);
+    if let Some(slot) = life.runs.get_mut(&run) {
+        slot.phase = RunPhase::Sent;
+        slot.since = context.at;
+        slot.sendings += 1;
+    }
+    let kind = OrderKind::Start(run);
+    send(planner, worker, kind, order, ORDER_TIME, context);
+}
+
+fn start_answered(
+    state: &mut BatchState,
+    order: &OpenOrder,
+    run: RunKey,
+    outcome: &OrderOutcome,
+    context: &mut StepContext<'_>,
+) {
+    let worker = &order.worker;
+    let Some(planner) = &mut state.planner else {
+        return;
+    };
+    let Some(life) = planner.workers.get_mut(worker) else {
+        return;
+    };
+    let Some(slot) = life.runs.get_mut(&run) else {
+        return;
+    };
+    match outcome {
+        OrderOutcome::Done { .. } => {
+            if slot.phase == RunPhase::Sent {
+                slot.phase = RunPhase::Running;
+                slot.since = context.at;
+            }
+            slot.unclear = false;
+            let line = format!(
+                "run={run} worker={worker} outcome=started wait_ms={}",
+                context.at.since(order.sent)
+            );
+            context.info(LogPart::Gang, line);
+            return;
+        }
+        OrderOutcome::Unknown => slot.unclear = true,
+        OrderOutcome::Undelivered | OrderOutcome::Refused { .. } => {}
+    }
+    let is_refused = matches!(outcome, OrderOutcome::Refused { .. });
+    let may_repeat = !is_refused && slot.sendings < START_SENDINGS && !slot.evicted;
+    let is_unclear = slot.unclear;
+    if slot.phase != RunPhase::Sent {
+        return;
+    }
+    if may_repeat {
+        return send_start(state, worker, run, context);
+    }
+    let line = format!("run={run} worker={worker} outcome=not_started reason={outcome:?}");
+    context.warn(LogPart::Gang, line);
+    slot.evicted = is_unclear;
+    life.avoid_for_a_while(context.at);
+    if is_unclear {
+        planner.dirty = true;
+        return;
+    }
+    planner::run_gone(state, worker, run, context);
+}
+
+fn stop_answered(
+    state: &mut BatchState,
+    order: &OpenOrder,
+    run: RunKey,
+    outcome: &OrderOutcome,
+    context: &mut StepContext<'_>,
+) {
+    let Some(planner) = &mut state.planner else {
+        return;
+    };
+    let Some(life) = planner.workers.get_mut(&order.worker) else {
+        return;
+    };
+    let Some(slot) = life.runs.get_mut(&run) else {
+        return;
+    };
+    let Some(stop) = &mut slot.stop else { return };
+    if matches!(outcome, OrderOutcome::Done { .. }) && stop.answered.is_none() {
+        stop.answered = Some(context.at);
+        // A hold that waits shows the end by itself. One that is sent later shows that a run
+        // never began.
+        life.hold.due = context.at;
+    }
+}
+
+/// Lets tasks of workers wait again whose lease has certainly lapsed.
+fn lapse(state: &mut BatchState, context: &mut StepContext<'_>) {
+    let Some(planner) = &state.planner else {
+        return;
+    };
+    let at = context.at;
+    let is_lapsed = |life: &WorkerLife| {
+        let is_silent = life.hold.failures > 0 || !life.listed || life.entry.is_none();
+        is_silent && !life.runs.is_empty() && at > life.lapses
+    };
+    let lapsed = planner.workers.iter().filter(|(_, life)| is_lapsed(life));
+    let lapsed: Vec<WorkerName> = lapsed.map(|(worker, _)| worker.clone()).collect();
+    for worker in lapsed {
+        planner::end_life(state, &worker, "the lease has lapsed", context);
+    }
+    let Some(planner) = &mut state.planner else {
+        return;
+    };
+    planner
+        .workers
+        .retain(|_, life| life.entry.is_some() || !life.runs.is_empty());
+}
+
+/// Stops runs that must not go on.
+fn sweep(state: &mut BatchState, context: &mut StepContext<'_>) {
+    let at = context.at;
+    let Some(planner) = &state.planner else {
+        return;
+    };
+    let mut unwanted: Vec<(WorkerName, RunKey)> = Vec::new();
+    let mut withdrawn: Vec<(WorkerName, RunKey)> = Vec::new();
+    for (worker, life) in &planner.workers {
+        for (run, slot) in &life.runs {
+            if slot.phase == RunPhase::Recorded {
+                if !planner.marks.contains_key(&run.task) {
+                    withdrawn.push((worker.clone(), *run));
+                }
+                continue;
+            }
+            let is_wanted = !slot.evicted && is_wanted(state, planner, worker, life.born, run);
+            let is_due = slot
+                .stop
+                .is_none_or(|stop| at.since(stop.sent) >= STOP_RETRY);
+            if !is_wanted && is_due && slot.phase != RunPhase::Inherited {
+                unwanted.push((worker.clone(), *run));
+            }
+        }
+    }
+    for (worker, run) in withdrawn {
+        planner::run_gone(state, &worker, run, context);
+    }
+    for (worker, run) in unwanted {
+        send_stop(state, &worker, run, at, context);
+    }
+}
+
+/// Tells whether the newest note of a task gives it to this run.
+fn is_wanted(
+    state: &BatchState,
+    planner: &PlannerState,
+    worker: &WorkerName,
+    born: u64,
+    run: &RunKey,
+) -> bool {
+    let Some(entry) = state.book.jobs.get(&run.task.step.job) else {
+        return false;
+    };
+    if entry.open_definition().is_none() {
+        return false;
+    }
+    let note = planner.newest_note(entry, &run.task);
+    let is_here = matches!(
+        &note.state,
+        crate::batch::record::TaskState::Placed(life) if life.worker == *worker && life.born == born
+    );
+    is_here && note.attempt == run.attempt
+}
+
+fn send_stop(
+    state: &mut BatchState,
+    worker: &WorkerName,
+    run: RunKey,
+    at: ClockTime,
+    context: &mut StepContext<'_>,
+) {
+    let Some(planner) = &mut state.planner else {
+        return;
+    };
+    let life = planner.workers.get_mut(worker);
+    let slot = life.and_then(|life| life.runs.get_mut(&run));
+    let Some(slot) = slot else { return };
+    slot.stop = Some(StopMark {
+        sent: at,
+        answered: None,
+    });
+    let reason = if slot.evicted { "evicted" } else { "unwanted" };
+    let line = format!("run={run} worker={worker} outcome=stopping reason={reason}");
+    context.info(LogPart::Gang, line);
+    let kind = OrderKind::Stop(run);
+    let order = WorkerOrder::Stop { run };
+    send(planner, worker, kind, order, ORDER_TIME, context);
+}
--- /dev/null
+++ b/core/src/batch/round.rs
@@ -0,0 +1,377 @@
+//! One round of planning: waiting units in order, each to its place, room made for urgent ones.
+
+use indexmap::IndexMap;
+
+use crate::batch::evict;
+use crate::batch::evict::EvictionCandidate;
+use crate::batch::job::JobKey;
+use crate::batch::job::JobPhase;
+use crate::batch::job::RunKey;
+use crate::batch::job::StepKey;
+use crate::batch::job::TaskDemand;
+use crate::batch::job::TaskKey;
+use crate::batch::life::RunPhase;
+use crate::batch::life::RunSlot;
+use crate::batch::placement;
+use crate::batch::placement::RackRule;
+use crate::batch::placement::WorkerRoom;
+use crate::batch::planner;
+use crate::batch::planner::PlannerState;
+use crate::batch::record::BatchRecord;
+use crate::batch::record::TaskNote;
+use crate::batch::record::TaskState;
+use crate::batch::record::WorkerLifeKey;
+use crate::batch::state::BatchState;
+use crate::batch::unit;
+use crate::batch::unit::WaitingUnit;
+use crate::context::StepContext;
+use crate::effect::LogPart;
+use crate::ids::RackName;
+use crate::ids::WorkerName;
+use crate::units::ClockTime;
+use crate::units::TimeSpan;
+
+/// Longest life of a claim on room that is being made.
+const CLAIM_TIME: TimeSpan = TimeSpan(1_500);
+
+/// Time that an urgent unit waits for room before other runs are stopped for it.
+const EVICTION_WAIT: TimeSpan = TimeSpan(100);
+
+/// A GPU counts as this many cores in the cost of lost work.
+const GPU_CORES: u64 = 8;
+
+/// Share of the reclaim bound, in tenths, after which an urgent unit takes any place.
+const ANY_PLACE_TENTHS: u64 = 5;
+
+/// Room on workers that is kept for a unit.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RoomClaim {
+    /// When the claim was made.
+    pub since: ClockTime,
+    /// The workers, one for each task.
+    pub workers: Vec<WorkerName>,
+}
+
+/// A decision of a round.
+#[derive(Debug, Default)]
+struct RoundPlan {
+    placements: Vec<(TaskKey, WorkerName)>,
+    evictions: Vec<RunKey>,
+    claims: IndexMap<StepKey, Vec<WorkerName>>,
+}
+
+/// Plans when something has changed.
+pub fn run(state: &mut BatchState, context: &mut StepContext<'_>) {
+    let Some(planner) = &mut state.planner else {
+        return;
+    };
+    if state.stopping.is_some() || !state.planner_lane.is_empty() && !planner.dirty {
+        return;
+    }
+    planner.dirty = false;
+    let at = context.at;
+    planner
+        .claims
+        .retain(|_, claim| at.since(claim.since) < CLAIM_TIME);
+    let plan = decide(state, at);
+    carry_out(state, plan, context);
+}
+
+fn decide(state: &BatchState, at: ClockTime) -> RoundPlan {
+    let mut plan = RoundPlan::default();
+    let Some(planner) = &state.planner else {
+        return plan;
+    };
+    let mut units = Vec::new();
+    for job in &planner.open_jobs {
+        if let Some(entry) = state.book.jobs.get(job) {
+            unit::waiting_units(*job, entry, planner, at, &mut units);
+        }
+    }
+    if units.is_empty() {
+        return plan;
+    }
+    units.sort_by_key(WaitingUnit::rank);
+    let mut free: IndexMap<&WorkerName, TaskDemand> = planner
+        .workers
+        .iter()
+        .map(|(worker, life)| (worker, life.free()))
+        .collect();
+    for (key, claim) in &planner.claims {
+        let step = units.iter().find(|unit| unit.key == *key);
+        let Some(step) = step.map(|unit| unit.step) else {
+            continue;
+        };
+        for worker in &claim.workers {
+            if let Some(room) = free.get_mut(worker) {
+                room.take(&step.room());
+            }
+        }
+    }
+    for unit in &units {
+        let claim = planner.claims.get(&unit.key);
+        // A unit may use the room that is kept for it.
+        if let Some(claim) = claim {
+            for worker in &claim.workers {
+                if let (Some(room), Some(life)) =
+                    (free.get_mut(worker), planner.workers.get(worker))
+                {
+                    let mut back = *room;
+                    back.add(&unit.step.room());
+                    let whole = life.free();
+                    room.cpu = back.cpu.min(whole.cpu);
+                    room.memory = back.memory.min(whole.memory);
+                    room.gpu = back.gpu.min(whole.gpu);
+                }
+            }
+        }
+        let mut rooms = view(state, planner, unit, &free, at);
+        let before = plan.placements.len();
+        place_unit(state, unit, &mut rooms, at, &mut plan);
+        let is_placed = plan.placements.len() > before;
+        for room in &rooms {
+            free.insert(room.worker, room.free);
+        }
+        if is_placed {
+            continue;
+        }
+        if let Some(claim) = claim {
+            for worker in &claim.workers {
+                if let Some(room) = free.get_mut(worker) {
+                    room.take(&unit.step.room());
+                }
+            }
+        } else if unit.definition.priority == 0 && at.since(unit.ready_at) >= EVICTION_WAIT {
+            make_room(planner, unit, &rooms, at, &mut plan);
+        }
+    }
+    plan
+}
+
+/// Returns the workers that may run a unit's tasks.
+fn view<'a>(
+    state: &'a BatchState,
+    planner: &'a PlannerState,
+    unit: &WaitingUnit<'_>,
+    free: &IndexMap<&'a WorkerName, TaskDemand>,
+    at: ClockTime,
+) -> Vec<WorkerRoom<'a>> {
+    let usable = planner.workers.iter().filter_map(|(worker, life)| {
+        let entry = life.entry.as_ref()?;
+        let is_open = entry.service == unit.definition.service
+            && !state.domains_out.contains(&entry.domain)
+            && life.is_usable(at);
+        is_open.then_some((worker, life, entry))
+    });
+    let room = usable.map(|(worker, life, entry)| {
+        let of_step = life.runs.keys().filter(|run| run.task.step == unit.key);
+        WorkerRoom {
+            worker,
+            rack: &entry.rack,
+            labels: &entry.labels,
+            free: free.get(worker).copied().unwrap_or_default(),
+            capacity: entry.capacity,
+            same_step: u32::try_from(of_step.count()).unwrap_or(u32::MAX),
+        }
+    });
+    room.collect()
+}
+
+/// An urgent or late unit takes any place; others wait for one at full speed.
+fn rack_rule(
+    state: &BatchState,
+    unit: &WaitingUnit<'_>,
+    rooms: &[WorkerRoom<'_>],
+    at: ClockTime,
+) -> RackRule {
+    let urgent_bound = TimeSpan(state.settings.reclaim.0 * ANY_PLACE_TENTHS / 10);
+    let is_urgent =
+        unit.definition.priority == 0 && at.since(unit.definition.accepted_at) >= urgent_bound;
+    let is_late = at >= unit.latest_start();
+    if is_urgent || is_late || !placement::can_be_near(rooms, unit.step) {
+        RackRule::Any
+    } else {
+        RackRule::Strict
+    }
+}
+
+fn place_unit<'a>(
+    state: &BatchState,
+    unit: &WaitingUnit<'_>,
+    rooms: &mut [WorkerRoom<'a>],
+    at: ClockTime,
+    plan: &mut RoundPlan,
+) {
+    let rule = rack_rule(state, unit, rooms, at);
+    if unit.step.gang {
+        if let Some(places) = placement::place_gang(rooms, unit.step, rule) {
+            for (index, place) in unit.members.iter().zip(places) {
+                take_place(unit, *index, &mut rooms[place], plan);
+            }
+        }
+        return;
+    }
+    let mut home = home_rack(state, unit);
+    for index in &unit.members {
+        let place = placement::place_single(rooms, unit.step, home.as_ref(), rule);
+        let Some(place) = place else { break };
+        if unit.step.rack_sensitive && home.is_none() {
+            home = Some(rooms[place].rack.clone());
+        }
+        take_place(unit, *index, &mut rooms[place], plan);
+    }
+}
+
+fn take_place(unit: &WaitingUnit<'_>, index: u32, room: &mut WorkerRoom<'_>, plan: &mut RoundPlan) {
+    room.free.take(&unit.step.room());
+    room.same_step += 1;
+    let task = TaskKey {
+        step: unit.key,
+        index,
+    };
+    plan.placements.push((task, room.worker.clone()));
+}
+
+/// Returns the rack where other tasks of a rack-sensitive step run.
+fn home_rack(state: &BatchState, unit: &WaitingUnit<'_>) -> Option<RackName> {
+    if !unit.step.rack_sensitive {
+        return None;
+    }
+    let planner = state.planner.as_ref()?;
+    let life = planner
+        .workers
+        .values()
+        .find(|life| life.runs.keys().any(|run| run.task.step == unit.key))?;
+    life.entry.as_ref().map(|entry| entry.rack.clone())
+}
+
+fn make_room(
+    planner: &PlannerState,
+    unit: &WaitingUnit<'_>,
+    rooms: &[WorkerRoom<'_>],
+    at: ClockTime,
+    plan: &mut RoundPlan,
+) {
+    let mut candidates = Vec::new();
+    for (place, room) in rooms.iter().enumerate() {
+        let Some(life) = planner.workers.get(room.worker) else {
+            continue;
+        };
+        for (run, slot) in &life.runs {
+            let is_lower = slot.priority > unit.definition.priority;
+            let is_stoppable = matches!(slot.phase, RunPhase::Running | RunPhase::Sent);
+            if is_lower && is_stoppable && !slot.evicted && !plan.evictions.contains(run) {
+                candidates.push(EvictionCandidate {
+                    place,
+                    run: *run,
+                    demand: slot.demand,
+                    cost: lost_work(slot, at),
+                });
+            }
+        }
+    }
+    let count = unit.members.len() as u64;
+    let Some(choice) = evict::choose(rooms, &candidates, unit.step, count) else {
+        return;
+    };
+    let workers = choice
+        .places
+        .iter()
+        .map(|&place| rooms[place].worker.clone());
+    plan.claims.insert(unit.key, workers.collect());
+    plan.evictions.extend(choice.runs);
+}
+
+/// Returns the work that a stop loses, in core-seconds, with a floor for the restart.
+fn lost_work(slot: &RunSlot, at: ClockTime) -> u64 {
+    let cores = slot.demand.cpu / 1_000 + slot.demand.gpu * GPU_CORES;
+    let seconds = at.since(slot.placed).0 / 1_000 + 1;
+    let members = if slot.gang { 4 } else { 1 };
+    let saved = if slot.checkpoint.is_empty() { 1 } else { 4 };
+    cores * seconds * members / saved / u64::from(slot.priority.max(1))
+}
+
+fn carry_out(state: &mut BatchState, plan: RoundPlan, context: &mut StepContext<'_>) {
+    let mut attempts: IndexMap<StepKey, u32> = IndexMap::new();
+    for (task, _) in &plan.placements {
+        let entry = state.book.jobs.get(&task.step.job);
+        let note = entry.and_then(|entry| entry.note(task));
+        let next = note.map_or(0, |note| note.attempt) + 1;
+        let highest = attempts.entry(task.step).or_default();
+        *highest = next.max(*highest);
+    }
+    for (task, worker) in plan.placements {
+        let attempt = attempts.get(&task.step).copied().unwrap_or(1);
+        place(state, task, &worker, attempt, context);
+    }
+    let at = context.at;
+    let Some(planner) = &mut state.planner else {
+        return;
+    };
+    for (key, workers) in plan.claims {
+        planner.claims.insert(key, RoomClaim { since: at, workers });
+    }
+    let gangs: Vec<StepKey> = plan.evictions.iter().map(|run| run.task.step).collect();
+    for life in planner.workers.values_mut() {
+        for (run, slot) in &mut life.runs {
+            let is_member = slot.gang && gangs.contains(&run.task.step);
+            if is_member || plan.evictions.contains(run) {
+                slot.evicted = true;
+            }
+        }
+    }
+}
+
+fn place(
+    state: &mut BatchState,
+    task: TaskKey,
+    worker: &WorkerName,
+    gang_attempt: u32,
+    context: &mut StepContext<'_>,
+) {
+    let job: JobKey = task.step.job;
+    let Some(entry) = state.book.jobs.get(&job) else {
+        return;
+    };
+    let Some(definition) = entry.open_definition() else {
+        return;
+    };
+    let Some(step) = definition.draft.steps.get(task.step.step as usize) else {
+        return;
+    };
+    let Some(planner) = &mut state.planner else {
+        return;
+    };
+    let Some(born) = planner.workers.get(worker).map(|life| life.born) else {
+        return;
+    };
+    let note = entry.note(&task).cloned().unwrap_or_default();
+    let attempt = if step.gang {
+        gang_attempt
+    } else {
+        note.attempt + 1
+    };
+    let run = RunKey { task, attempt };
+    let slot = planner::new_slot(definition, step, RunPhase::Recorded, context.at);
+    planner.claims.swap_remove(&task.step);
+    planner.add_slot(worker, run, slot);
+    let life = WorkerLifeKey {
+        worker: worker.clone(),
+        born,
+    };
+    let next = TaskNote {
+        attempt,
+        state: TaskState::Placed(life),
+        ..note
+    };
+    let line = format!(
+        "run={run} worker={worker} outcome=placed waited_ms={}",
+        context.at.since(definition.accepted_at)
+    );
+    context.info(LogPart::Plan, line);
+    planner.record(task, next, &mut state.planner_lane);
+    if entry.phase.is_none() && planner.begun.insert(job) {
+        let record = BatchRecord::phase(job, JobPhase::Running);
+        state.planner_lane.push(record, None);
+    }
+}
--- /dev/null
+++ b/core/src/batch/state.rs
@@ -0,0 +1,106 @@
+//! The state of the batch subsystem.
+
+use indexmap::IndexSet;
+
+use crate::batch::book::JobBook;
+use crate::batch::catalog::QueueCatalog;
+use crate::batch::intake::IntakeTable;
+use crate::batch::job::JobKey;
+use crate::batch::message::StoreStream;
+use crate::batch::planner::PlannerState;
+use crate::batch::settings::BatchSettings;
+use crate::batch::tail::StreamTail;
+use crate::batch::term::TermWatch;
+use crate::batch::writer::WriteQueue;
+use crate::ids::DaemonName;
+use crate::ids::DomainName;
+use crate::units::ClockTime;
+use crate::units::TimeSpan;
+
+/// Share of the revocation bound, in tenths, up to which the configuration may be used without
+/// a confirmation.
+const REVOCATION_TENTHS: u64 = 6;
+
+/// The state of the batch subsystem of one daemon.
+#[derive(Clone, Debug)]
+pub struct BatchState {
+    /// Its settings.
+    pub settings: BatchSettings,
+    /// The daemon's name.
+    pub daemon: DaemonName,
+    /// Tells two processes of the daemon apart.
+    pub incarnation: u64,
+    /// The configuration in force.
+    pub catalog: QueueCatalog,
+    /// Failure domains that are out of service.
+    pub domains_out: IndexSet<DomainName>,
+    /// What every daemon derives from the batch topic.
+    pub book: JobBook,
+    /// Reading of the batch topic.
+    pub batch_tail: StreamTail,
+    /// Reading of the operators' topic.
+    pub operator_tail: StreamTail,
+    /// Reading of the workers' topic, while this daemon plans.
+    pub worker_tail: StreamTail,
+    /// Callers who wait.
+    pub intake: IntakeTable,
+    /// Appends of callers' commands.
+    pub intake_lane: WriteQueue,
+    /// Appends of the planner.
+    pub planner_lane: WriteQueue,
+    /// The planner's term.
+    pub term: TermWatch,
+    /// The planner, while this daemon holds the term.
+    pub planner: Option<Box<PlannerState>>,
+    /// Since when the daemon is stopping.
+    pub stopping: Option<ClockTime>,
+}
+
+impl BatchState {
+    /// Creates the state of a process that has just started.
+    #[must_use]
+    pub fn new(settings: BatchSettings, daemon: DaemonName, incarnation: u64) -> Self {
+        Self {
+            settings,
+            daemon,
+            incarnation,
+            catalog: QueueCatalog::default(),
+            domains_out: IndexSet::new(),
+            book: JobBook::default(),
+            batch_tail: StreamTail::new(StoreStream::Batch),
+            operator_tail: StreamTail::new(StoreStream::Operator),
+            worker_tail: StreamTail::new(StoreStream::Workers),
+            intake: IntakeTable::default(),
+            intake_lane: WriteQueue::new(0),
+            planner_lane: WriteQueue::new(1),
+            term: TermWatch::default(),
+            planner: None,
+            stopping: None,
+        }
+    }
+
+    /// Tells whether the configuration was confirmed recently enough to admit callers.
+    ///
+    /// A key that was taken away must stop working at daemons that cannot reach the store, too.
+    #[must_use]
+    pub fn is_config_fresh(&self, at: ClockTime) -> bool {
+        let bound = TimeSpan(self.settings.revocation.0 * REVOCATION_TENTHS / 10);
+        self.catalog.version > 0 && self.operator_tail.is_fresh(at, bound)
+    }
+
+    /// Tells whether a job was accepted, as far as this daemon knows.
+    #[must_use]
+    pub fn is_known(&self, job: JobKey) -> bool {
+        let entry = self.book.jobs.get(&job);
+        entry.is_some_and(|entry| entry.definition.is_some()) || self.intake.is_confirmed(job)
+    }
+
+    /// Tells whether the daemon should get callers.
+    #[must_use]
+    pub fn is_ready(&self, at: ClockTime) -> bool {
+        self.stopping.is_none()
+            && self.is_config_fresh(at)
+            && self.batch_tail.is_loaded()
+            && self.batch_tail.healthy_since().is_some()
+    }
+}
--- /dev/null
+++ b/core/src/batch/tail.rs
@@ -0,0 +1,231 @@
+//! Following a topic of the store: reads, loads of the newest records, freshness.
+
+use crate::batch::message::BatchEffect;
+use crate::batch::message::StoreStream;
+use crate::batch::message::StreamOutcome;
+use crate::batch::message::StreamRecord;
+use crate::context::StepContext;
+use crate::effect::ControlEffect;
+use crate::effect::LogPart;
+use crate::units::ClockTime;
+use crate::units::TimeSpan;
+
+/// Time for an answer of the store beyond the wait that was asked for.
+const READ_TIME: TimeSpan = TimeSpan(1_000);
+
+/// Wait before a failed read is tried again.
+const RETRY_WAIT: TimeSpan = TimeSpan(150);
+
+/// How a topic is followed.
+#[derive(Clone, Copy, Debug)]
+pub struct TailPace {
+    /// Longest wait of one read for a record.
+    pub wait: TimeSpan,
+    /// Pause between two reads that brought records, so that one read brings several.
+    pub pause: TimeSpan,
+}
+
+/// The state of following one topic.
+#[derive(Clone, Debug)]
+pub struct StreamTail {
+    stream: StoreStream,
+    next: Option<u64>,
+    load: Option<StreamLoad>,
+    asked: Option<ReadMark>,
+    due: ClockTime,
+    confirmed: Option<ClockTime>,
+    healthy_since: Option<ClockTime>,
+    round_trip: TimeSpan,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct ReadMark {
+    at: ClockTime,
+    wait: TimeSpan,
+}
+
+#[derive(Clone, Debug, Default)]
+struct StreamLoad {
+    records: Vec<StreamRecord>,
+    after: Option<String>,
+    end: Option<u64>,
+}
+
+/// What a read brought.
+#[derive(Debug, PartialEq, Eq)]
+pub enum TailNews<'a> {
+    /// Nothing.
+    Nothing,
+    /// The newest record of each key, which replaces everything known of the topic.
+    Loaded(Vec<StreamRecord>),
+    /// Changes in the order of the topic.
+    Changes(&'a [StreamRecord]),
+}
+
+impl StreamTail {
+    /// Creates the state of a topic of which nothing was read.
+    #[must_use]
+    pub const fn new(stream: StoreStream) -> Self {
+        Self {
+            stream,
+            next: None,
+            load: None,
+            asked: None,
+            due: ClockTime(0),
+            confirmed: None,
+            healthy_since: None,
+            round_trip: TimeSpan(0),
+        }
+    }
+
+    /// Returns the time at which the topic was known to hold nothing newer.
+    #[must_use]
+    pub const fn confirmed(&self) -> Option<ClockTime> {
+        self.confirmed
+    }
+
+    /// Returns since when all reads have been answered, unless the last one was not.
+    #[must_use]
+    pub const fn healthy_since(&self) -> Option<ClockTime> {
+        self.healthy_since
+    }
+
+    /// Returns the time that the last load's page took.
+    #[must_use]
+    pub const fn round_trip(&self) -> TimeSpan {
+        self.round_trip
+    }
+
+    /// Tells whether the topic was confirmed within `span`.
+    #[must_use]
+    pub fn is_fresh(&self, at: ClockTime, span: TimeSpan) -> bool {
+        self.confirmed
+            .is_some_and(|confirmed| at.since(confirmed) <= span)
+    }
+
+    /// Tells whether the topic was read as a whole at least once.
+    #[must_use]
+    pub const fn is_loaded(&self) -> bool {
+        self.next.is_some()
+    }
+
+    /// Sends the next read when it is due.
+    pub fn follow(&mut self, pace: TailPace, context: &mut StepContext<'_>) {
+        if self.asked.is_some() || context.at < self.due {
+            return;
+        }
+        let wait = if self.next.is_some() && self.load.is_none() {
+            pace.wait
+        } else {
+            TimeSpan(0)
+        };
+        self.asked = Some(ReadMark {
+            at: context.at,
+            wait,
+        });
+        let effect = match (self.next, &self.load) {
+            (Some(from), None) => BatchEffect::Read {
+                stream: self.stream,
+                from,
+                wait,
+                timeout: wait + READ_TIME,
+            },
+            (_, load) => BatchEffect::ReadNewest {
+                stream: self.stream,
+                after: load.as_ref().and_then(|load| load.after.clone()),
+                timeout: READ_TIME,
+            },
+        };
+        context.push(ControlEffect::Batch(effect));
+    }
+
+    /// Takes the outcome of a read.
+    pub fn take<'a>(
+        &mut self,
+        outcome: &'a StreamOutcome,
+        pace: TailPace,
+        context: &mut StepContext<'_>,
+    ) -> TailNews<'a> {
+        let Some(mark) = self.asked.take() else {
+            return TailNews::Nothing;
+        };
+        match outcome {
+            StreamOutcome::Records { records, next } => {
+                self.answered(mark.at, context);
+                if records.is_empty() {
+                    self.confirm(mark, context.at);
+                } else {
+                    self.due = context.at + pace.pause;
+                }
+                self.next = Some(*next);
+                TailNews::Changes(records)
+            }
+            StreamOutcome::Newest {
+                records,
+                after,
+                end,
+            } => {
+                self.answered(mark.at, context);
+                self.round_trip = context.at.since(mark.at);
+                self.take_page(records, after.as_ref(), *end)
+            }
+            StreamOutcome::Expired => {
+                context.warn(
+                    LogPart::Log,
+                    format!(
+                        "topic={:?} history is gone, loading the newest",
+                        self.stream
+                    ),
+                );
+                self.load = Some(StreamLoad::default());
+                TailNews::Nothing
+            }
+            StreamOutcome::Failed => {
+                if self.healthy_since.take().is_some() {
+                    context.warn(
+                        LogPart::Log,
+                        format!("topic={:?} out of reach", self.stream),
+                    );
+                }
+                self.due = context.at + RETRY_WAIT;
+                TailNews::Nothing
+            }
+        }
+    }
+
+    /// A read that was answered shows the topic at least as it was when the read was sent.
+    fn answered(&mut self, asked: ClockTime, context: &mut StepContext<'_>) {
+        if self.healthy_since.is_none() {
+            self.healthy_since = Some(context.at);
+            context.info(LogPart::Log, format!("topic={:?} in reach", self.stream));
+        }
+        if self.load.is_none() && self.next.is_some() {
+            self.confirmed = self.confirmed.max(Some(asked));
+        }
+    }
+
+    /// An answer without records was made at the end of the wait that was asked for.
+    fn confirm(&mut self, mark: ReadMark, at: ClockTime) {
+        let answered = (mark.at + mark.wait).min(at);
+        self.confirmed = self.confirmed.max(Some(answered));
+    }
+
+    fn take_page(
+        &mut self,
+        records: &[StreamRecord],
+        after: Option<&String>,
+        end: u64,
+    ) -> TailNews<'static> {
+        let load = self.load.get_or_insert_default();
+        load.records.extend_from_slice(records);
+        // Later pages can show records beyond the first page's end. Reading goes on from there.
+        let first_end = *load.end.get_or_insert(end);
+        load.after = after.cloned();
+        if after.is_some() {
+            return TailNews::Nothing;
+        }
+        let load = self.load.take().unwrap_or_default();
+        self.next = Some(first_end);
+        TailNews::Loaded(load.records)
+    }
+}
--- /dev/null
+++ b/core/src/batch/unit.rs
@@ -0,0 +1,129 @@
+//! Units of work that wait for a place, and their order.
+
+use crate::batch::book::JobEntry;
+use crate::batch::job::JobDefinition;
+use crate::batch::job::JobKey;
+use crate::batch::job::StepDefinition;
+use crate::batch::job::StepKey;
+use crate::batch::job::TaskKey;
+use crate::batch::planner::PlannerState;
+use crate::batch::record::TaskState;
+use crate::units::ClockTime;
+use crate::units::TimeSpan;
+
+/// Tasks of one step that wait: all of a gang, or any number of single tasks.
+#[derive(Clone, Debug)]
+pub struct WaitingUnit<'a> {
+    /// The step.
+    pub key: StepKey,
+    /// The job.
+    pub definition: &'a JobDefinition,
+    /// The step's definition.
+    pub step: &'a StepDefinition,
+    /// The job's entry in the book.
+    pub entry: &'a JobEntry,
+    /// Indexes of the tasks.
+    pub members: Vec<u32>,
+    /// When the tasks could first run, as far as this planner knows.
+    pub ready_at: ClockTime,
+    /// When the job has to be completed.
+    pub deadline: ClockTime,
+}
+
+impl WaitingUnit<'_> {
+    /// Returns the sort key: urgent queues first, then the least time for the work that is left.
+    #[must_use]
+    pub fn rank(&self) -> (u32, u64) {
+        let latest_start = self.deadline.0.saturating_sub(self.step.estimate.0);
+        (self.definition.priority, latest_start)
+    }
+
+    /// Returns the last moment at which a start at full speed meets the objective.
+    #[must_use]
+    pub fn latest_start(&self) -> ClockTime {
+        self.deadline - self.step.estimate
+    }
+}
+
+/// Returns the units of a job that wait, in the order of its steps.
+pub fn waiting_units<'a>(
+    job: JobKey,
+    entry: &'a JobEntry,
+    planner: &PlannerState,
+    at: ClockTime,
+    units: &mut Vec<WaitingUnit<'a>>,
+) {
+    let Some(definition) = entry.open_definition() else {
+        return;
+    };
+    let draft = &definition.draft;
+    for occurrence in 0..draft.occurrences() {
+        let due = draft.due_at(occurrence);
+        if due.is_some_and(|due| due > at) {
+            break;
+        }
+        let ready_at = due.unwrap_or(definition.accepted_at);
+        let span = draft.longest_chain().0.saturating_mul(definition.stretch) / 1_000;
+        let deadline = ready_at + TimeSpan(span) + definition.target;
+        for (place, step) in (0_u32..).zip(&draft.steps) {
+            let key = StepKey {
+                job,
+                occurrence,
+                step: place,
+            };
+            let is_blocked = step.after.iter().any(|&earlier| {
+                let before = StepKey {
+                    step: earlier,
+                    ..key
+                };
+                let count = draft.steps[earlier as usize].count;
+                !entry.is_step_done(&before, count)
+            });
+            if is_blocked {
+                continue;
+            }
+            let members = waiting_members(key, step, definition, entry, planner);
+            if !members.is_empty() {
+                units.push(WaitingUnit {
+                    key,
+                    definition,
+                    step,
+                    entry,
+                    members,
+                    ready_at,
+                    deadline,
+                });
+            }
+        }
+    }
+}
+
+fn waiting_members(
+    key: StepKey,
+    step: &StepDefinition,
+    definition: &JobDefinition,
+    entry: &JobEntry,
+    planner: &PlannerState,
+) -> Vec<u32> {
+    let is_waiting = |index: &u32| {
+        let task = TaskKey {
+            step: key,
+            index: *index,
+        };
+        let note = entry.note(&task);
+        let may_run = note.is_none_or(|note| {
+            note.state == TaskState::Waiting
+                && (step.long_running || note.failures < definition.max_attempts.max(1))
+        });
+        may_run && planner.is_settled(&task)
+    };
+    if step.gang {
+        let all: Vec<u32> = (0..step.count).collect();
+        return if all.iter().all(is_waiting) {
+            all
+        } else {
+            Vec::new()
+        };
+    }
+    (0..step.count).filter(is_waiting).collect()
+}
--- a/core/src/effect.rs
+++ b/core/src/effect.rs
@@ -2,6 +2,7 @@
 
 use indexmap::IndexMap;
 
+use crate::batch::message::BatchEffect;
 use crate::config::TeamFile;
 use crate::ids::BatchId;
 use crate::ids::CallId;
@@ -461,6 +462,8 @@
             /// One short sentence.
             line: String,
         },
+        /// Do something for the batch subsystem.
+        Batch(BatchEffect),
         /// Add to a counter or set a gauge.
         Count {
             /// The metric.
--- a/core/src/event.rs
+++ b/core/src/event.rs
@@ -1,5 +1,7 @@
 //! Everything that can happen to a daemon, as one closed set.
 
+use crate::batch::message::BatchInput;
+use crate::batch::settings::BatchSettings;
 use crate::config::KeyDigest;
 use crate::config::TeamFile;
 use crate::effect::PeerMessage;
@@ -332,6 +334,13 @@
             /// The answer.
             outcome: VmOutcome,
         },
+        /// Something happened to the batch subsystem.
+        Batch(BatchInput),
+        /// The settings were read anew.
+        Reload {
+            /// The settings of the batch subsystem.
+            settings: Box<BatchSettings>,
+        },
         /// The process has been told to stop.
         Shutdown {
             /// How urgently.
--- a/core/src/kind.rs
+++ b/core/src/kind.rs
@@ -65,6 +65,10 @@
         InProgress,
         /// The log is out of reach, so this daemon cannot tell whether the key was used before.
         KeyUnverified,
+        /// No queue has this host and path.
+        UnknownQueue,
+        /// No team has the key that the caller presented.
+        UnknownKey,
     }
 }
 
@@ -103,7 +107,7 @@
 }
 
 /// One row for each kind, in the order of the enum.
-pub const KIND_TABLE: [KindAnswer; 22] = [
+pub const KIND_TABLE: [KindAnswer; 24] = [
     row(
         ErrorKind::BadRequest,
         400,
@@ -258,6 +262,20 @@
         SOON,
         "key cannot be looked up",
     ),
+    row(
+        ErrorKind::UnknownQueue,
+        404,
+        RunStatus::NotRun,
+        None,
+        "unknown queue",
+    ),
+    row(
+        ErrorKind::UnknownKey,
+        401,
+        RunStatus::NotRun,
+        None,
+        "unknown key",
+    ),
 ];
 
 impl ErrorKind {
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -13,6 +13,7 @@
 
 pub mod attempt;
 pub mod baseline;
+pub mod batch;
 pub mod call;
 pub mod caller;
 pub mod collection;
--- a/core/src/reducer.rs
+++ b/core/src/reducer.rs
@@ -1,5 +1,7 @@
 //! The one reducer over all events.
 
+use crate::batch;
+use crate::batch::state::BatchState;
 use crate::call;
 use crate::caller;
 use crate::context::StepContext;
@@ -9,6 +11,7 @@
 use crate::effect::WorkerTasks;
 use crate::event::ControlEvent;
 use crate::event::EventInput;
+use crate::event::ShutdownLevel;
 use crate::gang;
 use crate::history;
 use crate::ids::DaemonName;
@@ -26,6 +29,9 @@
 /// The same state and event always give the same state and effects.
 pub fn apply(state: &mut DaemonState, event: &ControlEvent, effects: &mut Vec<ControlEffect>) {
     let context = &mut StepContext::new(event.at, effects);
+    if let Some(batch) = &mut state.batch {
+        return apply_batch(batch, &event.input, context);
+    }
     match &event.input {
         EventInput::Tick => tick(state, context),
         EventInput::Caller {
@@ -71,12 +77,39 @@
         EventInput::Peer { from, message } => peer(state, from, message, context),
         EventInput::VmList { outcome } => member::vm_list(state, outcome, context),
         EventInput::Shutdown { level } => shutdown::begin(state, *level, context),
+        // Without a batch subsystem there is nothing that these inputs could be about.
+        EventInput::Batch(_) | EventInput::Reload { .. } => {}
     }
     state
         .outbox
         .flush(&state.settings.timing, &state.settings.limits, context);
 }
 
+/// Applies one event to a daemon that runs on the users' platform.
+fn apply_batch(state: &mut BatchState, input: &EventInput, context: &mut StepContext<'_>) {
+    match input {
+        EventInput::Tick => batch::tick(state, context),
+        EventInput::Batch(input) => batch::apply(state, input, context),
+        EventInput::Reload { settings } => batch::reload(state, settings, context),
+        EventInput::Shutdown { level } => match level {
+            ShutdownLevel::Drain => batch::stop(state, context),
+            ShutdownLevel::Now => context.push(ControlEffect::Exit),
+        },
+        // These come from the product's own log, members, workers and callers, which are unused.
+        EventInput::Caller { .. }
+        | EventInput::CallerGone { .. }
+        | EventInput::LogRead { .. }
+        | EventInput::SnapshotRead { .. }
+        | EventInput::SnapshotWritten { .. }
+        | EventInput::AppendDone { .. }
+        | EventInput::WorkerAnswer { .. }
+        | EventInput::WorkerReport { .. }
+        | EventInput::EndpointAnswer { .. }
+        | EventInput::Peer { .. }
+        | EventInput::VmList { .. } => {}
+    }
+}
+
 fn tick(state: &mut DaemonState, context: &mut StepContext<'_>) {
     member::tick(state, context);
     history::tick(state, context);
--- a/core/src/settings.rs
+++ b/core/src/settings.rs
@@ -5,6 +5,7 @@
 use serde_json::Value;
 use serde_with::serde_as;
 
+use crate::batch::settings::BatchSettings;
 use crate::config::KeyDigest;
 use crate::document::FieldPath;
 use crate::document::FileProblem;
@@ -54,6 +55,9 @@
     /// Bounds of queues, tables and sizes.
     #[serde(default)]
     pub limits: LimitSettings,
+    /// Settings of the batch subsystem, for a daemon that runs on the users' platform.
+    #[serde(default)]
+    pub batch: Option<BatchSettings>,
 }
 
 /// Spans of time that the reducer works with.
@@ -331,6 +335,7 @@
         "policy": PolicyKind::default(),
         "timing": TimingSettings::default(),
         "limits": LimitSettings::default(),
+        "batch": Value::Null,
     })
 }
 
@@ -364,7 +369,7 @@
             document.report(&path, message);
             continue;
         };
-        let is_own = field == "caller_address" || field == "peer_address";
+        let is_own = ["caller_address", "peer_address", "ready_address"].contains(&field);
         if address.port() == 0 && !is_own {
             document.report(&path, "port 0 cannot be connected to");
         } else if let Some((other, _)) = seen.iter().find(|(_, known)| *known == address) {
@@ -388,6 +393,9 @@
     if let Some(address) = &settings.statsd_address {
         addresses.push(("statsd_address", address));
     }
+    if let Some(batch) = &settings.batch {
+        addresses.push(("ready_address", &batch.ready_address));
+    }
     addresses
 }
 
--- a/core/src/state.rs
+++ b/core/src/state.rs
@@ -1,5 +1,6 @@
 //! The whole state of one daemon.
 
+use crate::batch::state::BatchState;
 use crate::call::CallTable;
 use crate::caller::CallerTable;
 use crate::domain::DomainTable;
@@ -46,6 +47,9 @@
     pub requests: RequestTable,
     /// The shutdown, once it has begun.
     pub shutdown: Option<ShutdownState>,
+    /// The batch subsystem, when the daemon runs on the users' platform. The daemon's own log,
+    /// members and leases are unused then.
+    pub batch: Option<Box<BatchState>>,
     /// When the last snapshot was begun by this process, and the offset it continues from.
     pub snapshot: SnapshotMark,
 }
@@ -71,7 +75,12 @@
             daemon: settings.daemon.clone(),
             incarnation,
         };
+        let batch = settings
+            .batch
+            .clone()
+            .map(|batch| Box::new(BatchState::new(batch, settings.daemon.clone(), incarnation)));
         Self {
+            batch,
             ledger: LedgerState::default(),
             reader: ReaderState::new(),
             outbox: OutboxState::new(writer),
