--- a/core/examples/capacity.rs
+++ b/core/examples/capacity.rs
@@ -222,6 +222,7 @@
         policy: mustardpath_core::policy::PolicyKind::Mustardpath,
         timing: TimingSettings::default(),
         limits: LimitSettings::default(),
+        batch: None,
     }
 }
 
--- a/core/src/batch/ends.rs
+++ b/core/src/batch/ends.rs
@@ -57,11 +57,13 @@
     };
     if let Some(life) = planner.workers.get_mut(worker) {
         let mut entry = life.entry.take();
+        let address = life.address.take();
         if let Some(entry) = &mut entry {
             entry.born = born;
         }
         *life = WorkerLife::new(born, context.at);
         life.entry = entry;
+        life.address = address;
         life.hold.due = context.at;
     }
 }
--- a/core/src/batch/life.rs
+++ b/core/src/batch/life.rs
@@ -106,6 +106,9 @@
 pub struct WorkerLife {
     /// What it says of itself, unless its entry is gone.
     pub entry: Option<WorkerEntry>,
+    /// IP number and port, which stay known when the entry is gone: entries can lapse while the
+    /// worker is well.
+    pub address: Option<String>,
     /// When its life began, by its own account.
     pub born: u64,
     /// Its clock and when it was read.
@@ -134,6 +137,7 @@
     pub fn new(born: u64, at: ClockTime) -> Self {
         Self {
             entry: None,
+            address: None,
             born,
             clock: None,
             lapses: at,
--- a/core/src/batch/message.rs
+++ b/core/src/batch/message.rs
@@ -377,6 +377,8 @@
             /// The answer.
             answer: QueueAnswer,
         },
+        /// Tell callers to close their connections after the next answer.
+        CloseCallers,
         /// Answer the platform's question whether the daemon takes callers.
         Readiness {
             /// The exchange.
--- a/core/src/batch/orders.rs
+++ b/core/src/batch/orders.rs
@@ -84,7 +84,7 @@
     };
     let at = context.at;
     let due = planner.workers.iter().filter(|(_, life)| {
-        life.entry.is_some() && life.hold.sent.is_none() && life.hold.due <= at
+        life.address.is_some() && life.hold.sent.is_none() && life.hold.due <= at
     });
     let due: Vec<WorkerName> = due.map(|(worker, _)| worker.clone()).collect();
     for worker in due {
@@ -147,7 +147,9 @@
     let Some(life) = planner.workers.get(worker) else {
         return;
     };
-    let Some(entry) = &life.entry else { return };
+    let Some(address) = life.address.clone() else {
+        return;
+    };
     planner.last_order += 1;
     let call = CallId(planner.last_order);
     let open = OpenOrder {
@@ -159,7 +161,7 @@
     context.push(ControlEffect::Batch(BatchEffect::Order {
         call,
         worker: worker.clone(),
-        address: entry.address.clone(),
+        address,
         term: planner.term,
         order,
         timeout,
@@ -229,6 +231,7 @@
         );
         if is_other_life {
             life.entry = None;
+            life.address = None;
             planner::end_life(state, &order.worker, "another life answered", context);
         }
         return;
--- a/core/src/batch/planner.rs
+++ b/core/src/batch/planner.rs
@@ -329,6 +329,7 @@
     if was.is_none() {
         life.hold.due = context.at;
     }
+    life.address = Some(entry.address.clone());
     life.entry = Some(entry.clone());
 }
 
--- a/core/src/batch/settings.rs
+++ b/core/src/batch/settings.rs
@@ -1,5 +1,8 @@
 //! Settings of the batch subsystem.
 
+use std::time::Duration;
+
+use serde_with::DurationSecondsWithFrac;
 use serde_with::serde_as;
 
 use crate::units::SpanText;
@@ -16,20 +19,35 @@
     #[serde(default)]
     pub metrics_address: Option<String>,
     /// Longest lease that a worker grants.
+    #[serde(default = "max_lease")]
     #[serde_as(as = "SpanText")]
     pub max_lease: TimeSpan,
-    /// Time after which a run whose gang is not complete ends by itself.
-    #[serde_as(as = "SpanText")]
-    pub gang_timeout: TimeSpan,
     /// Time in which a key that was taken away must stop working.
+    #[serde(default = "revocation")]
     #[serde_as(as = "SpanText")]
     pub revocation: TimeSpan,
     /// Time in which all tasks of an urgent first step must have begun.
+    #[serde(default = "reclaim")]
     #[serde_as(as = "SpanText")]
     pub reclaim: TimeSpan,
-    /// Factor on the run time of a task that runs away from its data.
-    pub remote_factor: u64,
-    /// Time that the platform leaves a process between the two stop signals.
-    #[serde_as(as = "SpanText")]
-    pub grace: TimeSpan,
+    /// Time in seconds that the platform leaves a process between the two stop signals.
+    #[serde(default = "grace")]
+    #[serde_as(as = "DurationSecondsWithFrac<f64>")]
+    pub grace: Duration,
+}
+
+const fn max_lease() -> TimeSpan {
+    TimeSpan(6_000)
+}
+
+const fn revocation() -> TimeSpan {
+    TimeSpan(5_000)
+}
+
+const fn reclaim() -> TimeSpan {
+    TimeSpan(2_700)
+}
+
+const fn grace() -> Duration {
+    Duration::from_secs(6)
 }
--- a/core/src/batch/step.rs
+++ b/core/src/batch/step.rs
@@ -78,6 +78,7 @@
     }
     context.info(LogPart::Process, "outcome=stopping");
     state.stopping = Some(context.at);
+    context.push(ControlEffect::Batch(BatchEffect::CloseCallers));
     term::release(state, context);
     advance(state, context);
 }
@@ -286,7 +287,8 @@
 fn finish_stop(state: &BatchState, context: &mut StepContext<'_>) {
     let Some(since) = state.stopping else { return };
     let waited: TimeSpan = context.at.since(since);
-    let longest = TimeSpan(state.settings.grace.0 * STOP_TENTHS / 10);
+    let grace = u64::try_from(state.settings.grace.as_millis()).unwrap_or(u64::MAX);
+    let longest = TimeSpan(grace / 10 * STOP_TENTHS);
     let is_idle = state.intake.is_idle() && state.planner_lane.is_empty();
     if waited >= longest || (is_idle && waited >= STOP_WAIT.min(longest)) {
         context.push(ControlEffect::Exit);
--- a/src/bin/mustardpathd.rs
+++ b/src/bin/mustardpathd.rs
@@ -9,9 +9,12 @@
 use simplelog::LevelFilter;
 
 use mustardpath::daemon::RunningDaemon;
+use mustardpath::entry::daemon::EntryDaemon;
 use mustardpath::logs;
 use mustardpath::settings_file;
 use mustardpath::signals;
+use mustardpath_core::batch::settings::BatchSettings;
+use mustardpath_core::settings::DaemonSettings;
 
 /// Schedules multi-accelerator jobs and short requests for teams that hold capacity guarantees.
 #[derive(FromArgs)]
@@ -25,6 +28,28 @@
     let options: DaemonOptions = argh::from_env();
     logs::init(LevelFilter::Info);
     let settings = settings_file::read_settings(&options.settings)?;
+    match settings.batch.clone() {
+        Some(batch) => run_entry(settings, &batch, options.settings),
+        None => run_own(settings),
+    }
+}
+
+/// Runs on the users' platform.
+fn run_entry(settings: DaemonSettings, batch: &BatchSettings, path: PathBuf) -> io::Result<()> {
+    let line = format!(
+        "process: outcome=started callers={} store={}",
+        settings.caller_address, settings.log_address
+    );
+    let daemon = EntryDaemon::start(settings, batch, path)?;
+    log::info!("{line}");
+    signals::spawn_entry(daemon.handle())?;
+    daemon.wait();
+    log::info!("process: outcome=ended");
+    Ok(())
+}
+
+/// Runs on the product's own log and workers.
+fn run_own(settings: DaemonSettings) -> io::Result<()> {
     let daemon = RunningDaemon::start(settings)?;
     let settings = &daemon.settings;
     log::info!(
--- a/src/control.rs
+++ b/src/control.rs
@@ -8,18 +8,20 @@
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
 
+use nix::time::ClockId;
+use nix::time::clock_gettime;
 use tokio::sync::mpsc;
 use tokio::time;
 use tokio::time::Instant;
 use tokio::time::MissedTickBehavior;
 
-use crate::dispatch::EffectPorts;
 use mustardpath_core::effect::ControlEffect;
 use mustardpath_core::event::ControlEvent;
 use mustardpath_core::event::EventInput;
 use mustardpath_core::reducer;
 use mustardpath_core::state::DaemonState;
 use mustardpath_core::units::ClockTime;
+use mustardpath_core::units::TimeSpan;
 
 /// Time between two ticks.
 pub const TICK: Duration = Duration::from_millis(100);
@@ -39,33 +41,77 @@
     mpsc::channel(EVENT_QUEUE)
 }
 
-/// A clock that never runs backwards: wall time at its start plus the runtime clock's advance.
+/// A clock that never runs backwards: wall time at its start plus a steady clock's advance.
 #[derive(Clone, Copy, Debug)]
 pub struct RunClock {
     wall: ClockTime,
-    start: Instant,
+    source: ClockSource,
+}
+
+/// The steady clock behind a [`RunClock`].
+#[derive(Clone, Copy, Debug)]
+enum ClockSource {
+    /// The runtime's clock, which tests pause and advance.
+    Runtime(Instant),
+    /// Time since the machine's start, in milliseconds. Unlike the runtime's clock, it counts the
+    /// time in which the machine is suspended, so beliefs age while a VM is frozen.
+    Boot(u64),
 }
 
 impl RunClock {
     /// Starts the clock.
     #[must_use]
     pub fn start() -> Self {
-        let since_epoch = SystemTime::now()
-            .duration_since(UNIX_EPOCH)
-            .unwrap_or_default();
-        let wall = ClockTime(u64::try_from(since_epoch.as_millis()).unwrap_or(u64::MAX));
-        let start = Instant::now();
-        Self { wall, start }
+        Self {
+            wall: wall_time(),
+            source: ClockSource::Runtime(Instant::now()),
+        }
+    }
+
+    /// Starts a clock that counts the time in which the machine is suspended.
+    #[must_use]
+    pub fn start_boot() -> Self {
+        Self {
+            wall: wall_time(),
+            source: ClockSource::Boot(boot_time()),
+        }
     }
 
     /// Returns the time.
     #[must_use]
     pub fn now(&self) -> ClockTime {
-        let advance = self.start.elapsed().as_millis();
-        ClockTime(self.wall.0 + u64::try_from(advance).unwrap_or(u64::MAX))
+        let advance = match self.source {
+            ClockSource::Runtime(start) => {
+                u64::try_from(start.elapsed().as_millis()).unwrap_or(u64::MAX)
+            }
+            ClockSource::Boot(start) => boot_time().saturating_sub(start),
+        };
+        self.wall + TimeSpan(advance)
     }
 }
 
+fn wall_time() -> ClockTime {
+    let since_epoch = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
+    ClockTime(u64::try_from(since_epoch.as_millis()).unwrap_or(u64::MAX))
+}
+
+/// Returns the milliseconds since the machine's start, suspended time included.
+fn boot_time() -> u64 {
+    // The call fails only for a clock that the system does not have.
+    let time = clock_gettime(ClockId::CLOCK_BOOTTIME).map(Duration::from);
+    time.map_or(0, |time| {
+        u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+    })
+}
+
+/// Hands each effect to the thread that carries it out, without waiting. Returns the event that
+/// answers the effect when it was refused.
+pub trait EffectSink: FnMut(ControlEffect) -> Option<EventInput> {}
+
+impl<F: FnMut(ControlEffect) -> Option<EventInput>> EffectSink for F {}
+
 /// Starts the control thread. It ends with the `Exit` effect or when all senders are gone.
 ///
 /// # Errors
@@ -75,7 +121,7 @@
     state: DaemonState,
     clock: RunClock,
     events: EventReceiver,
-    ports: EffectPorts,
+    ports: impl EffectSink + Send + 'static,
 ) -> io::Result<JoinHandle<()>> {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_time()
@@ -89,7 +135,7 @@
     mut state: DaemonState,
     clock: RunClock,
     mut events: EventReceiver,
-    ports: EffectPorts,
+    mut ports: impl EffectSink,
 ) {
     let mut ticks = time::interval(TICK);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
@@ -105,7 +151,7 @@
             if matches!(effect, ControlEffect::Exit) {
                 return;
             }
-            if let Some(input) = ports.carry_out(effect) {
+            if let Some(input) = ports(effect) {
                 refusals.fresh.push_back(input);
             }
         }
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -118,7 +118,8 @@
             }),
         })?;
         let state = DaemonState::new(DaemonSettings::clone(&settings), incarnation);
-        let control = control::spawn(state, clock, received, ports)?;
+        let carry_out = move |effect| ports.carry_out(effect);
+        let control = control::spawn(state, clock, received, carry_out)?;
         Ok(Self {
             settings,
             events,
--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -114,7 +114,8 @@
                 self.metrics.count(metric, amount);
                 None
             }
-            ControlEffect::Exit => None,
+            // Only a daemon with a batch subsystem has these, and it has other ports.
+            ControlEffect::Batch(_) | ControlEffect::Exit => None,
         }
     }
 
--- /dev/null
+++ b/src/entry/daemon.rs
@@ -0,0 +1,197 @@
+//! The daemon's threads on the users' platform.
+
+use std::cell::Cell;
+use std::io;
+use std::net::TcpListener;
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::thread;
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+use tokio::sync::mpsc;
+use tokio::sync::mpsc::UnboundedReceiver;
+use tokio::sync::mpsc::UnboundedSender;
+use tokio::task::LocalSet;
+use tokio::time;
+
+use crate::control;
+use crate::control::EventSender;
+use crate::control::RunClock;
+use crate::entry::client::CallPool;
+use crate::entry::exchange::OpenExchanges;
+use crate::entry::outward;
+use crate::entry::outward::OutwardContext;
+use crate::entry::serve;
+use crate::entry::serve::ServeContext;
+use crate::logs;
+use crate::logs::LogLine;
+use crate::settings_file;
+use mustardpath_core::batch::message::BatchEffect;
+use mustardpath_core::batch::settings::BatchSettings;
+use mustardpath_core::effect::ControlEffect;
+use mustardpath_core::event::EventInput;
+use mustardpath_core::event::ShutdownLevel;
+use mustardpath_core::settings::DaemonSettings;
+use mustardpath_core::state::DaemonState;
+
+/// Time for answers on their way when the control thread has ended.
+const LAST_ANSWERS: Duration = Duration::from_millis(100);
+
+/// A running daemon.
+pub struct EntryDaemon {
+    events: EventSender,
+    settings_path: PathBuf,
+    control: JoinHandle<()>,
+    traffic: JoinHandle<()>,
+}
+
+/// Ends or reloads a daemon from another thread.
+#[derive(Clone)]
+pub struct EntryHandle {
+    events: EventSender,
+    settings_path: PathBuf,
+}
+
+impl EntryHandle {
+    /// Turns readiness off and lets open calls finish.
+    pub fn drain(&self) {
+        let level = ShutdownLevel::Drain;
+        // The control thread has ended already when the channel is closed.
+        let _ = self.events.blocking_send(EventInput::Shutdown { level });
+    }
+
+    /// Reads the settings file again. A file with mistakes changes nothing.
+    pub fn reload(&self) {
+        match settings_file::read_settings(&self.settings_path) {
+            Ok(DaemonSettings {
+                batch: Some(batch), ..
+            }) => {
+                let settings = Box::new(batch);
+                // The control thread has ended already when the channel is closed.
+                let _ = self.events.blocking_send(EventInput::Reload { settings });
+            }
+            Ok(_) => log::warn!("process: outcome=not_reloaded reason=\"no batch section\""),
+            Err(error) => log::warn!("process: outcome=not_reloaded reason={error:?}"),
+        }
+    }
+}
+
+impl EntryDaemon {
+    /// Starts the daemon.
+    ///
+    /// # Errors
+    ///
+    /// Returns the system's error when a socket or a thread cannot be set up.
+    pub fn start(
+        settings: DaemonSettings,
+        batch: &BatchSettings,
+        settings_path: PathBuf,
+    ) -> io::Result<Self> {
+        let callers = TcpListener::bind(settings.caller_address.as_str())?;
+        let ready = TcpListener::bind(batch.ready_address.as_str())?;
+        let (events, received) = control::event_channel();
+        let (effects, outward) = mpsc::unbounded_channel();
+        let lines = logs::spawn(settings.daemon.to_string())?;
+        let traffic = TrafficParts {
+            events: events.clone(),
+            effects: outward,
+            listeners: vec![callers, ready],
+            store: settings.log_address.clone(),
+        };
+        let traffic = thread::Builder::new()
+            .name("traffic".into())
+            .spawn(move || run_traffic(traffic))?;
+        let state = DaemonState::new(settings, fastrand::u64(..));
+        let clock = RunClock::start_boot();
+        let ports = move |effect| carry_out(effect, &effects, &lines);
+        let control = control::spawn(state, clock, received, ports)?;
+        Ok(Self {
+            events,
+            settings_path,
+            control,
+            traffic,
+        })
+    }
+
+    /// Returns a handle for other threads.
+    #[must_use]
+    pub fn handle(&self) -> EntryHandle {
+        EntryHandle {
+            events: self.events.clone(),
+            settings_path: self.settings_path.clone(),
+        }
+    }
+
+    /// Waits until the control thread ends and the last answers are on their way.
+    pub fn wait(self) {
+        // A panic of either thread ends the process as well.
+        let _ = self.control.join();
+        let _ = self.traffic.join();
+    }
+}
+
+/// Hands an effect to the thread that carries it out.
+fn carry_out(
+    effect: ControlEffect,
+    effects: &UnboundedSender<BatchEffect>,
+    lines: &crossbeam_channel::Sender<LogLine>,
+) -> Option<EventInput> {
+    match effect {
+        ControlEffect::Batch(effect) => {
+            // The traffic thread ends after the control thread. The channel is bounded by the
+            // exchanges of callers and by one read, append or order for each open one.
+            let _ = effects.send(effect);
+        }
+        ControlEffect::Note { part, level, line } => {
+            // A full queue means that nobody reads standard output; no request waits for it.
+            let _ = lines.try_send(LogLine { part, level, line });
+        }
+        // The product's own log, workers and peers are unused on the platform.
+        _ => {}
+    }
+    None
+}
+
+/// What the traffic thread takes over.
+struct TrafficParts {
+    events: EventSender,
+    effects: UnboundedReceiver<BatchEffect>,
+    listeners: Vec<TcpListener>,
+    store: String,
+}
+
+fn run_traffic(parts: TrafficParts) {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_io()
+        .enable_time()
+        .build();
+    let runtime = match runtime {
+        Ok(runtime) => runtime,
+        Err(error) => {
+            log::error!("process: outcome=traffic_failed reason={error:?}");
+            return;
+        }
+    };
+    LocalSet::new().block_on(&runtime, traffic(parts));
+}
+
+async fn traffic(parts: TrafficParts) {
+    let serve = Rc::new(ServeContext {
+        events: parts.events.clone(),
+        exchanges: OpenExchanges::default(),
+        closing: Cell::new(false),
+        connections: Cell::new(0),
+    });
+    for listener in parts.listeners {
+        tokio::task::spawn_local(serve::serve(Rc::clone(&serve), listener));
+    }
+    let context = OutwardContext {
+        events: parts.events,
+        serve,
+        pool: Rc::new(CallPool::default()),
+        store: parts.store.into(),
+    };
+    outward::run(context, parts.effects).await;
+    time::sleep(LAST_ANSWERS).await;
+}
--- /dev/null
+++ b/src/entry/mod.rs
@@ -0,0 +1,10 @@
+//! The daemon on the users' platform: sockets of callers, the store and the workers.
+//!
+//! One traffic thread runs all sockets. It turns what comes in into events and carries out
+//! effects; the crate `mustardpath-platform` knows the forms, the core decides.
+
+pub mod client;
+pub mod daemon;
+pub mod exchange;
+pub mod outward;
+pub mod serve;
--- /dev/null
+++ b/src/entry/outward.rs
@@ -0,0 +1,127 @@
+//! Carrying out effects: reads and appends at the store, orders to workers, answers to callers.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::sync::mpsc::UnboundedReceiver;
+use tokio::task;
+
+use crate::control::EventSender;
+use crate::entry::client::CallFailure;
+use crate::entry::client::CallPool;
+use crate::entry::exchange::ExchangeAnswer;
+use crate::entry::serve::ServeContext;
+use mustardpath_core::batch::message::BatchEffect;
+use mustardpath_core::batch::message::BatchInput;
+use mustardpath_core::batch::message::OrderOutcome;
+use mustardpath_core::batch::message::StreamOutcome;
+use mustardpath_core::batch::message::WriteOutcome;
+use mustardpath_core::event::EventInput;
+use mustardpath_core::units::TimeSpan;
+use mustardpath_platform::store;
+use mustardpath_platform::worker;
+
+/// What the tasks that carry out effects share.
+#[derive(Clone)]
+pub struct OutwardContext {
+    /// Takes events to the control thread.
+    pub events: EventSender,
+    /// Open calls of callers.
+    pub serve: Rc<ServeContext>,
+    /// Connections to the store and to workers.
+    pub pool: Rc<CallPool>,
+    /// IP number and port of the store.
+    pub store: Rc<str>,
+}
+
+/// Carries out effects until the control thread has ended.
+pub async fn run(context: OutwardContext, mut effects: UnboundedReceiver<BatchEffect>) {
+    while let Some(effect) = effects.recv().await {
+        match effect {
+            BatchEffect::Answer { caller, answer } => {
+                let answer = ExchangeAnswer::Queue(answer);
+                context.serve.exchanges.answer(caller, answer);
+            }
+            BatchEffect::Readiness { caller, is_ready } => {
+                let answer = ExchangeAnswer::Readiness(is_ready);
+                context.serve.exchanges.answer(caller, answer);
+            }
+            BatchEffect::CloseCallers => context.serve.closing.set(true),
+            effect => {
+                task::spawn_local(call(context.clone(), effect));
+            }
+        }
+    }
+}
+
+async fn call(context: OutwardContext, effect: BatchEffect) {
+    let input = match effect {
+        BatchEffect::Read {
+            stream,
+            from,
+            wait,
+            timeout,
+        } => {
+            let call = store::read(stream, from, wait);
+            let reply = context.pool.call(&context.store, call, span(timeout)).await;
+            let outcome = reply.map_or(StreamOutcome::Failed, |reply| {
+                store::read_outcome(stream, from, reply.status, &reply.body)
+            });
+            BatchInput::Read { stream, outcome }
+        }
+        BatchEffect::ReadNewest {
+            stream,
+            after,
+            timeout,
+        } => {
+            let call = store::read_newest(stream, after.as_deref());
+            let reply = context.pool.call(&context.store, call, span(timeout)).await;
+            let outcome = reply.map_or(StreamOutcome::Failed, |reply| {
+                store::newest_outcome(stream, reply.status, &reply.body)
+            });
+            BatchInput::Read { stream, outcome }
+        }
+        BatchEffect::Write {
+            batch,
+            lane,
+            records,
+            timeout,
+        } => {
+            let call = store::append(lane, &records);
+            let reply = context.pool.call(&context.store, call, span(timeout)).await;
+            let outcome = match reply {
+                Ok(reply) => store::append_outcome(reply.status),
+                Err(CallFailure::Undelivered) => WriteOutcome::Undelivered,
+                Err(CallFailure::Unknown) => WriteOutcome::Unknown,
+            };
+            BatchInput::Written { batch, outcome }
+        }
+        BatchEffect::Order {
+            call,
+            worker,
+            address,
+            term,
+            order,
+            timeout,
+        } => {
+            let request = worker::order(worker.as_str(), term, &order);
+            let reply = context.pool.call(&address, request, span(timeout)).await;
+            let outcome = match reply {
+                Ok(reply) => worker::outcome(reply.status, &reply.body),
+                Err(CallFailure::Undelivered) => OrderOutcome::Undelivered,
+                Err(CallFailure::Unknown) => OrderOutcome::Unknown,
+            };
+            BatchInput::Order { call, outcome }
+        }
+        // `run` carries these out without a task of their own.
+        BatchEffect::Answer { .. } | BatchEffect::Readiness { .. } | BatchEffect::CloseCallers => {
+            return;
+        }
+    };
+    // The control thread has ended when the channel is closed.
+    let _ = context.events.send(EventInput::Batch(input)).await;
+}
+
+const fn span(span: TimeSpan) -> Duration {
+    Duration::from_millis(span.0)
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod digest;
 pub mod dispatch;
 pub mod domain_command;
+pub mod entry;
 pub mod exchange;
 pub mod exit;
 pub mod fault_link;
--- a/src/load_cluster.rs
+++ b/src/load_cluster.rs
@@ -129,6 +129,7 @@
             policy: Default::default(),
             timing,
             limits: Default::default(),
+            batch: None,
         })?;
         let target = daemon.settings.caller_address.parse();
         let front = self.links.open(target.map_err(io::Error::other)?, None)?;
--- a/src/local_cluster.rs
+++ b/src/local_cluster.rs
@@ -93,6 +93,7 @@
             policy: Default::default(),
             timing: tuning.timing.clone(),
             limits: tuning.limits.clone(),
+            batch: None,
         })?;
         let info = DaemonInfo {
             daemon: plan.daemon.clone(),
--- a/src/logs.rs
+++ b/src/logs.rs
@@ -27,7 +27,7 @@
     pub line: String,
 }
 
-/// Sends log lines to standard error. A second call in one process changes nothing.
+/// Sends log lines to standard output. A second call in one process changes nothing.
 pub fn init(level: LevelFilter) {
     let config = ConfigBuilder::new()
         .add_filter_allow_str("mustardpath")
@@ -36,7 +36,7 @@
         .set_location_level(LevelFilter::Off)
         .build();
     // Only a second logger in the process is an error here, and the first one stays in use.
-    let _ = TermLogger::init(level, config, TerminalMode::Stderr, ColorChoice::Never);
+    let _ = TermLogger::init(level, config, TerminalMode::Stdout, ColorChoice::Never);
 }
 
 /// Starts the logger thread for one daemon. It ends when all senders are gone.
--- a/standin/src/delivery.rs
+++ b/standin/src/delivery.rs
@@ -160,7 +160,8 @@
             ControlEffect::Note { part, line, .. } => {
                 self.note(|| format!("{daemon} {} {line}", part.prefix()));
             }
-            ControlEffect::Count { .. } => {}
+            // Daemons of this model have no batch subsystem.
+            ControlEffect::Count { .. } | ControlEffect::Batch(_) => {}
             ControlEffect::Exit => self.kill(daemon),
         }
     }
