--- a/core/src/batch/ends.rs
+++ b/core/src/batch/ends.rs
@@ -3,7 +3,6 @@
 use crate::batch::job::RunKey;
 use crate::batch::life::RunPhase;
 use crate::batch::life::RunSlot;
-use crate::batch::life::WorkerLife;
 use crate::batch::message::EndedRow;
 use crate::batch::message::RunEnding;
 use crate::batch::message::RunningRow;
@@ -32,9 +31,9 @@
         return;
     };
     if let Some(born) = lists.born.filter(|born| *born != life.born) {
-        planner::end_life(state, worker, "a new life answered", context);
-        begin_life(state, worker, born, context);
-        return;
+        let line = format!("worker={worker} born={born} outcome=new_life");
+        context.warn(LogPart::Lease, line);
+        life.begin_again(born, context.at);
     }
     life.listed = true;
     for row in &lists.running {
@@ -46,28 +45,6 @@
     drop_absent(state, worker, asked, lists, context);
 }
 
-fn begin_life(
-    state: &mut BatchState,
-    worker: &WorkerName,
-    born: u64,
-    context: &mut StepContext<'_>,
-) {
-    let Some(planner) = &mut state.planner else {
-        return;
-    };
-    if let Some(life) = planner.workers.get_mut(worker) {
-        let mut entry = life.entry.take();
-        let address = life.address.take();
-        if let Some(entry) = &mut entry {
-            entry.born = born;
-        }
-        *life = WorkerLife::new(born, context.at);
-        life.entry = entry;
-        life.address = address;
-        life.hold.due = context.at;
-    }
-}
-
 fn take_running(
     state: &mut BatchState,
     worker: &WorkerName,
--- a/core/src/batch/life.rs
+++ b/core/src/batch/life.rs
@@ -125,6 +125,8 @@
     pub runs: IndexMap<RunKey, RunSlot>,
     /// Its hold.
     pub hold: HoldState,
+    /// When its lists are to be asked for beside the hold.
+    pub look_due: Option<ClockTime>,
     /// Until when it gets no new tasks.
     pub avoid: ClockTime,
     /// Jobs with a failed run since its last success.
@@ -146,11 +148,32 @@
             pending: IndexSet::new(),
             runs: IndexMap::new(),
             hold: HoldState::default(),
+            look_due: None,
             avoid: ClockTime(0),
             failed_jobs: IndexSet::new(),
         }
     }
 
+    /// Begins the life that `born` names. What was started a moment ago may have reached it, so its
+    /// first list decides about each run.
+    pub fn begin_again(&mut self, born: u64, at: ClockTime) {
+        let mut next = Self::new(born, at);
+        next.address = self.address.take();
+        next.entry = self.entry.take();
+        next.lapses = self.lapses;
+        next.runs = std::mem::take(&mut self.runs);
+        if let Some(entry) = &mut next.entry {
+            entry.born = born;
+        }
+        for slot in next.runs.values_mut() {
+            if matches!(slot.phase, RunPhase::Running | RunPhase::Foreign) {
+                slot.phase = RunPhase::Inherited;
+            }
+            slot.stop = None;
+        }
+        *self = next;
+    }
+
     /// Returns the end of a lease from now on by the worker's clock, once its clock is known.
     #[must_use]
     pub fn lease_end(&self, lease: TimeSpan, at: ClockTime) -> Option<u64> {
--- a/core/src/batch/message.rs
+++ b/core/src/batch/message.rs
@@ -279,6 +279,8 @@
         },
         /// No byte of it was sent.
         Undelivered,
+        /// No process listens at the worker's address.
+        NoListener,
         /// It may be carried out, now or later.
         Unknown,
     }
--- a/core/src/batch/orders.rs
+++ b/core/src/batch/orders.rs
@@ -42,12 +42,19 @@
 /// Longest pause of holds while ends are on their way into the log.
 const RECORD_PAUSE: TimeSpan = TimeSpan(500);
 
+/// Wait between the answer to a stop and the look that shows whether the run ever began. Lists
+/// that are asked for in the same millisecond as the answer came prove nothing.
+const LOOK_DELAY: TimeSpan = TimeSpan(2);
+
 /// Sendings of one start.
 const START_SENDINGS: u32 = 2;
 
-/// Wait before a stop is sent again that was not answered, or not followed by an end.
+/// Wait before a stop is sent again that was not answered.
 const STOP_RETRY: TimeSpan = TimeSpan(600);
 
+/// Wait before a stop is sent again that was answered and not followed by an end.
+const STOP_REPEAT: TimeSpan = TimeSpan(2_500);
+
 /// Sends the start of a run whose placement was read back.
 pub fn begin(
     state: &mut BatchState,
@@ -87,9 +94,15 @@
         life.address.is_some() && life.hold.sent.is_none() && life.hold.due <= at
     });
     let due: Vec<WorkerName> = due.map(|(worker, _)| worker.clone()).collect();
+    let looks = planner.workers.iter();
+    let looks = looks.filter(|(_, life)| life.look_due.is_some_and(|due| due <= at));
+    let looks: Vec<WorkerName> = looks.map(|(worker, _)| worker.clone()).collect();
     for worker in due {
         send_hold(state, &worker, context);
     }
+    for worker in looks {
+        send_look(state, &worker, context);
+    }
     lapse(state, context);
     sweep(state, context);
 }
@@ -110,7 +123,9 @@
     let Some(life) = planner.workers.get_mut(&order.worker) else {
         return;
     };
-    if life.born != order.born {
+    // Starts and stops can have reached a later life under the same name; lists cannot.
+    let is_same_life = life.born == order.born;
+    if !is_same_life && matches!(order.kind, OrderKind::Hold | OrderKind::Look) {
         return;
     }
     if let OrderOutcome::Refused {
@@ -124,13 +139,14 @@
     let clock = match outcome {
         OrderOutcome::Done { clock, .. } => Some(*clock),
         OrderOutcome::Refused { clock, .. } => *clock,
-        OrderOutcome::Undelivered | OrderOutcome::Unknown => None,
+        OrderOutcome::Undelivered | OrderOutcome::NoListener | OrderOutcome::Unknown => None,
     };
-    if let Some(clock) = clock {
+    if let Some(clock) = clock.filter(|_| is_same_life) {
         life.clock = Some((clock, context.at));
     }
     match order.kind {
         OrderKind::Hold => hold_answered(state, &order, outcome, context),
+        OrderKind::Look => look_answered(state, &order, outcome, context),
         OrderKind::Start(run) => start_answered(state, &order, run, outcome, context),
         OrderKind::Stop(run) => stop_answered(state, &order, run, outcome, context),
     }
@@ -181,7 +197,9 @@
     let Some(life) = planner.workers.get_mut(worker) else {
         return;
     };
-    let lease_end = life.lease_end(lease, context.at);
+    // A worker that does not answer is not asked to hold on, so that its lease has a known end.
+    let is_heard = life.hold.failures == 0;
+    let lease_end = life.lease_end(lease, context.at).filter(|_| is_heard);
     if let Some(end) = lease_end {
         life.lease_asked(end);
     }
@@ -233,6 +251,9 @@
             life.entry = None;
             life.address = None;
             planner::end_life(state, &order.worker, "another life answered", context);
+        } else if *outcome == OrderOutcome::NoListener {
+            // Runs end with the worker's process.
+            planner::end_life(state, &order.worker, "no process listens", context);
         }
         return;
     };
@@ -272,7 +293,7 @@
     let lease_end = life.and_then(|life| life.lease_end(lease, context.at));
     let order = lease_end.and_then(|end| planner::start_order(state, run, end));
     let (Some(order), Some(lease_end)) = (order, lease_end) else {
-        planner::run_gone(state, worker, run, context);
+        give_up_start(state, worker, run, context);
         return;
     };
     let Some(planner) = &mut state.planner else {
@@ -323,11 +344,10 @@
             return;
         }
         OrderOutcome::Unknown => slot.unclear = true,
-        OrderOutcome::Undelivered | OrderOutcome::Refused { .. } => {}
+        OrderOutcome::Undelivered | OrderOutcome::NoListener | OrderOutcome::Refused { .. } => {}
     }
     let is_refused = matches!(outcome, OrderOutcome::Refused { .. });
     let may_repeat = !is_refused && slot.sendings < START_SENDINGS && !slot.evicted;
-    let is_unclear = slot.unclear;
     if slot.phase != RunPhase::Sent {
         return;
     }
@@ -336,9 +356,25 @@
     }
     let line = format!("run={run} worker={worker} outcome=not_started reason={outcome:?}");
     context.warn(LogPart::Gang, line);
-    slot.evicted = is_unclear;
     life.avoid_for_a_while(context.at);
-    if is_unclear {
+    give_up_start(state, worker, run, context);
+}
+
+/// Takes a start back. One that may still be carried out has to be stopped first.
+fn give_up_start(
+    state: &mut BatchState,
+    worker: &WorkerName,
+    run: RunKey,
+    context: &mut StepContext<'_>,
+) {
+    let Some(planner) = &mut state.planner else {
+        return;
+    };
+    let life = planner.workers.get_mut(worker);
+    let slot = life.and_then(|life| life.runs.get_mut(&run));
+    let Some(slot) = slot else { return };
+    if slot.unclear {
+        slot.evicted = true;
         planner.dirty = true;
         return;
     }
@@ -364,9 +400,41 @@
     let Some(stop) = &mut slot.stop else { return };
     if matches!(outcome, OrderOutcome::Done { .. }) && stop.answered.is_none() {
         stop.answered = Some(context.at);
-        // A hold that waits shows the end by itself. One that is sent later shows that a run
-        // never began.
-        life.hold.due = context.at;
+        // A hold that waits shows an end by itself, but not that a run never began.
+        if slot.unclear {
+            life.look_due = Some(context.at + LOOK_DELAY);
+        }
+    }
+}
+
+/// Asks a worker for its lists beside the hold that waits there.
+fn send_look(state: &mut BatchState, worker: &WorkerName, context: &mut StepContext<'_>) {
+    let Some(planner) = &mut state.planner else {
+        return;
+    };
+    let Some(life) = planner.workers.get_mut(worker) else {
+        return;
+    };
+    life.look_due = None;
+    let order = WorkerOrder::Hold {
+        lease_end: None,
+        seen: life.seen(),
+        wait: TimeSpan(0),
+    };
+    send(planner, worker, OrderKind::Look, order, ORDER_TIME, context);
+}
+
+fn look_answered(
+    state: &mut BatchState,
+    order: &OpenOrder,
+    outcome: &OrderOutcome,
+    context: &mut StepContext<'_>,
+) {
+    if let OrderOutcome::Done {
+        lists: Some(lists), ..
+    } = outcome
+    {
+        ends::take_lists(state, &order.worker, order.sent, lists, context);
     }
 }
 
@@ -409,10 +477,12 @@
                 }
                 continue;
             }
-            let is_wanted = !slot.evicted && is_wanted(state, planner, worker, life.born, run);
-            let is_due = slot
-                .stop
-                .is_none_or(|stop| at.since(stop.sent) >= STOP_RETRY);
+            let is_wanted = !slot.evicted && is_wanted(state, planner, worker, run);
+            let is_due = slot.stop.is_none_or(|stop| {
+                let is_answered = stop.answered.is_some();
+                let wait = if is_answered { STOP_REPEAT } else { STOP_RETRY };
+                at.since(stop.sent) >= wait
+            });
             if !is_wanted && is_due && slot.phase != RunPhase::Inherited {
                 unwanted.push((worker.clone(), *run));
             }
@@ -431,7 +501,6 @@
     state: &BatchState,
     planner: &PlannerState,
     worker: &WorkerName,
-    born: u64,
     run: &RunKey,
 ) -> bool {
     let Some(entry) = state.book.jobs.get(&run.task.step.job) else {
@@ -443,7 +512,7 @@
     let note = planner.newest_note(entry, &run.task);
     let is_here = matches!(
         &note.state,
-        crate::batch::record::TaskState::Placed(life) if life.worker == *worker && life.born == born
+        crate::batch::record::TaskState::Placed(life) if life.worker == *worker
     );
     is_here && note.attempt == run.attempt
 }
@@ -461,10 +530,8 @@
     let life = planner.workers.get_mut(worker);
     let slot = life.and_then(|life| life.runs.get_mut(&run));
     let Some(slot) = slot else { return };
-    slot.stop = Some(StopMark {
-        sent: at,
-        answered: None,
-    });
+    let answered = slot.stop.and_then(|stop| stop.answered);
+    slot.stop = Some(StopMark { sent: at, answered });
     let reason = if slot.evicted { "evicted" } else { "unwanted" };
     let line = format!("run={run} worker={worker} outcome=stopping reason={reason}");
     context.info(LogPart::Gang, line);
--- a/core/src/batch/planner.rs
+++ b/core/src/batch/planner.rs
@@ -54,6 +54,8 @@
 pub enum OrderKind {
     /// A hold.
     Hold,
+    /// The lists, beside a hold that waits.
+    Look,
     /// The start of a run.
     Start(RunKey),
     /// The stop of a run.
@@ -182,7 +184,7 @@
         };
         planner.open_jobs.insert(*job);
         for (task, note, step) in placed_tasks(*job, definition, &entry.steps) {
-            let TaskState::Placed(life) = &note.state else {
+            let (TaskState::Placed(life) | TaskState::Leaving(life)) = &note.state else {
                 continue;
             };
             let born = life.born;
@@ -304,18 +306,14 @@
     if known.is_some_and(|born| born > entry.born) {
         return;
     }
-    if known.is_some_and(|born| born < entry.born) {
-        end_life(state, worker, "a new life has begun", context);
-    }
-    let Some(planner) = &mut state.planner else {
-        return;
-    };
     let life = planner
         .workers
         .entry(worker.clone())
         .or_insert_with(|| WorkerLife::new(entry.born, context.at));
     if life.born != entry.born {
-        *life = WorkerLife::new(entry.born, context.at);
+        let line = format!("worker={worker} born={} outcome=new_life", entry.born);
+        context.warn(LogPart::Lease, line);
+        life.begin_again(entry.born, context.at);
     }
     let was = life.entry.as_ref().map(|entry| entry.condition);
     if was != Some(entry.condition) {
@@ -378,7 +376,7 @@
     requeue(state, run, &slot.checkpoint, false);
 }
 
-/// Records that a run has ended without being done. The members of a gang wait together.
+/// Records that a run has ended without being done. The other members of its gang must not go on.
 pub fn requeue(state: &mut BatchState, run: RunKey, checkpoint: &str, failed: bool) {
     let Some(entry) = state.book.jobs.get(&run.task.step.job) else {
         return;
@@ -404,22 +402,29 @@
             index,
         };
         let note = planner.newest_note(entry, &task);
-        let is_current = note.attempt == run.attempt && matches!(note.state, TaskState::Placed(_));
-        let is_new_failure =
-            counts_as_failure && note.failed_attempt < run.attempt && note.state != TaskState::Done;
-        if !is_current && !is_new_failure {
+        let is_live = planner.live.contains_key(&task);
+        let next_state = match &note.state {
+            _ if note.attempt != run.attempt => None,
+            TaskState::Placed(life) if is_live => Some(TaskState::Leaving(life.clone())),
+            TaskState::Placed(_) => Some(TaskState::Waiting),
+            TaskState::Leaving(_) if !is_live => Some(TaskState::Waiting),
+            TaskState::Leaving(_) | TaskState::Waiting | TaskState::Done => None,
+        };
+        let is_new_failure = counts_as_failure
+            && !note.failed.contains(&run.attempt)
+            && note.state != TaskState::Done;
+        if next_state.is_none() && !is_new_failure {
             continue;
         }
         let mut next = note.clone();
-        if is_current {
-            next.state = TaskState::Waiting;
+        if let Some(state) = next_state {
+            next.state = state;
             if !checkpoint.is_empty() {
                 checkpoint.clone_into(&mut next.checkpoint);
             }
         }
         if is_new_failure {
-            next.failures += 1;
-            next.failed_attempt = run.attempt;
+            next.failed.push(run.attempt);
         }
         planner.record(task, next, &mut state.planner_lane);
     }
@@ -474,9 +479,9 @@
         return;
     };
     let notes = entry.steps.values().flatten();
-    let has_failed = notes.clone().any(|note| {
-        note.state != TaskState::Done && note.failures >= definition.max_attempts.max(1)
-    });
+    let has_failed = notes
+        .clone()
+        .any(|note| note.state != TaskState::Done && note.is_used_up(definition.max_attempts));
     let phase = if has_failed {
         JobPhase::Failed
     } else if entry.is_done(job, &definition.draft) {
--- a/core/src/batch/record.rs
+++ b/core/src/batch/record.rs
@@ -42,6 +42,9 @@
         Waiting,
         /// Its newest attempt belongs to a worker, which may have begun it.
         Placed(WorkerLifeKey),
+        /// Its newest attempt must not go on, and may still be running on a worker. Another
+        /// planner has to know of it before it places the task again.
+        Leaving(WorkerLifeKey),
         /// It is done.
         Done,
     }
@@ -51,10 +54,9 @@
     pub struct TaskNote {
         /// The newest attempt, or 0 before the first.
         pub attempt: u32,
-        /// Attempts that failed.
-        pub failures: u32,
-        /// The newest attempt that counts among the failures, or 0.
-        pub failed_attempt: u32,
+        /// Attempts that failed, in the order in which they were noted.
+        #[serde(default, skip_serializing_if = "Vec::is_empty")]
+        pub failed: Vec<u32>,
         /// Where the next attempt resumes; empty at the start.
         pub checkpoint: String,
         /// What is to be done with it.
@@ -94,6 +96,14 @@
     }
 }
 
+impl TaskNote {
+    /// Tells whether the attempts that may fail are used up.
+    #[must_use]
+    pub fn is_used_up(&self, max_attempts: u32) -> bool {
+        self.failed.len() >= max_attempts.max(1) as usize
+    }
+}
+
 impl RecordKey {
     /// Returns the job that the record belongs to.
     #[must_use]
--- a/core/src/batch/round.rs
+++ b/core/src/batch/round.rs
@@ -60,6 +60,13 @@
     claims: IndexMap<StepKey, Vec<WorkerName>>,
 }
 
+/// What all members of a gang start with.
+#[derive(Clone, Debug, Default)]
+struct GangStart {
+    attempt: u32,
+    checkpoint: String,
+}
+
 /// Plans when something has changed.
 pub fn run(state: &mut BatchState, context: &mut StepContext<'_>) {
     let Some(planner) = &mut state.planner else {
@@ -292,17 +299,20 @@
 }
 
 fn carry_out(state: &mut BatchState, plan: RoundPlan, context: &mut StepContext<'_>) {
-    let mut attempts: IndexMap<StepKey, u32> = IndexMap::new();
+    let mut gangs: IndexMap<StepKey, GangStart> = IndexMap::new();
     for (task, _) in &plan.placements {
         let entry = state.book.jobs.get(&task.step.job);
         let note = entry.and_then(|entry| entry.note(task));
-        let next = note.map_or(0, |note| note.attempt) + 1;
-        let highest = attempts.entry(task.step).or_default();
-        *highest = next.max(*highest);
+        let gang = gangs.entry(task.step).or_default();
+        gang.attempt = gang.attempt.max(note.map_or(0, |note| note.attempt) + 1);
+        let saved = note.map_or("", |note| note.checkpoint.as_str());
+        if gang.checkpoint.is_empty() {
+            saved.clone_into(&mut gang.checkpoint);
+        }
     }
     for (task, worker) in plan.placements {
-        let attempt = attempts.get(&task.step).copied().unwrap_or(1);
-        place(state, task, &worker, attempt, context);
+        let gang = gangs.get(&task.step).cloned().unwrap_or_default();
+        place(state, task, &worker, gang, context);
     }
     let at = context.at;
     let Some(planner) = &mut state.planner else {
@@ -326,7 +336,7 @@
     state: &mut BatchState,
     task: TaskKey,
     worker: &WorkerName,
-    gang_attempt: u32,
+    gang: GangStart,
     context: &mut StepContext<'_>,
 ) {
     let job: JobKey = task.step.job;
@@ -346,10 +356,10 @@
         return;
     };
     let note = entry.note(&task).cloned().unwrap_or_default();
-    let attempt = if step.gang {
-        gang_attempt
+    let (attempt, checkpoint) = if step.gang {
+        (gang.attempt, gang.checkpoint)
     } else {
-        note.attempt + 1
+        (note.attempt + 1, note.checkpoint.clone())
     };
     let run = RunKey { task, attempt };
     let slot = planner::new_slot(definition, step, RunPhase::Recorded, context.at);
@@ -361,6 +371,7 @@
     };
     let next = TaskNote {
         attempt,
+        checkpoint,
         state: TaskState::Placed(life),
         ..note
     };
--- a/core/src/batch/unit.rs
+++ b/core/src/batch/unit.rs
@@ -113,7 +113,7 @@
         let note = entry.note(&task);
         let may_run = note.is_none_or(|note| {
             note.state == TaskState::Waiting
-                && (step.long_running || note.failures < definition.max_attempts.max(1))
+                && (step.long_running || !note.is_used_up(definition.max_attempts))
         });
         may_run && planner.is_settled(&task)
     };
--- a/src/entry/client.rs
+++ b/src/entry/client.rs
@@ -1,6 +1,7 @@
 //! HTTP calls to the store and to workers over kept connections.
 
 use std::cell::RefCell;
+use std::io::ErrorKind;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -26,6 +27,8 @@
 pub enum CallFailure {
     /// No byte of it was sent.
     Undelivered,
+    /// No process listens at the address, so no byte of it was sent.
+    NoListener,
     /// It may have been carried out, now or later.
     Unknown,
 }
@@ -120,7 +123,10 @@
 
 async fn connect(address: &str) -> Result<CallSender, CallFailure> {
     let stream = TcpStream::connect(address).await;
-    let stream = stream.map_err(|_| CallFailure::Undelivered)?;
+    let stream = stream.map_err(|error| match error.kind() {
+        ErrorKind::ConnectionRefused => CallFailure::NoListener,
+        _ => CallFailure::Undelivered,
+    })?;
     // Without this, small requests wait for the acknowledgement of the one before.
     stream
         .set_nodelay(true)
--- a/src/entry/outward.rs
+++ b/src/entry/outward.rs
@@ -91,7 +91,9 @@
             let reply = context.pool.call(&context.store, call, span(timeout)).await;
             let outcome = match reply {
                 Ok(reply) => store::append_outcome(reply.status),
-                Err(CallFailure::Undelivered) => WriteOutcome::Undelivered,
+                Err(CallFailure::Undelivered | CallFailure::NoListener) => {
+                    WriteOutcome::Undelivered
+                }
                 Err(CallFailure::Unknown) => WriteOutcome::Unknown,
             };
             BatchInput::Written { batch, outcome }
@@ -109,6 +111,7 @@
             let outcome = match reply {
                 Ok(reply) => worker::outcome(reply.status, &reply.body),
                 Err(CallFailure::Undelivered) => OrderOutcome::Undelivered,
+                Err(CallFailure::NoListener) => OrderOutcome::NoListener,
                 Err(CallFailure::Unknown) => OrderOutcome::Unknown,
             };
             BatchInput::Order { call, outcome }
--- /dev/null
+++ b/standin/src/batch/worker.rs
@@ -0,0 +1,192 @@
+//! A worker of the platform: runs under leases on its own clock, with numbered ends.
+
+use indexmap::IndexMap;
+
+use mustardpath_core::batch::job::RunKey;
+use mustardpath_core::batch::job::TaskKey;
+use mustardpath_core::batch::job::WorkerEntry;
+use mustardpath_core::batch::message::EndedRow;
+use mustardpath_core::batch::message::OrderOutcome;
+use mustardpath_core::batch::message::OrderRefusal;
+use mustardpath_core::batch::message::RunEnding;
+use mustardpath_core::batch::message::RunningRow;
+use mustardpath_core::batch::message::WorkerLists;
+use mustardpath_core::ids::TermNumber;
+use mustardpath_core::units::ClockTime;
+use mustardpath_core::units::TimeSpan;
+
+/// Time in which a stop takes effect.
+const STOP_TIME: TimeSpan = TimeSpan(200);
+
+/// How a worker treats its orders and runs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum WorkerMood {
+    /// It is well.
+    Well,
+    /// Whatever it starts fails.
+    FailsAll,
+    /// It refuses starts, having done nothing.
+    Unhealthy,
+    /// Its process is gone.
+    Down,
+}
+
+/// A run on a worker.
+#[derive(Clone, Debug)]
+pub struct ModelRun {
+    /// When it came.
+    pub came: ClockTime,
+    /// When its work began; a gang begins when all members are there.
+    pub began: Option<ClockTime>,
+    /// How long its work takes.
+    pub work: TimeSpan,
+    /// Whether its work fails.
+    pub fails: bool,
+    /// When a stop takes effect.
+    pub stops: Option<ClockTime>,
+}
+
+/// A worker.
+#[derive(Clone, Debug)]
+pub struct BatchWorker {
+    /// What it says of itself.
+    pub entry: WorkerEntry,
+    /// How it behaves.
+    pub mood: WorkerMood,
+    /// When its life began.
+    pub began: ClockTime,
+    /// Loss of its clock in thousandths.
+    pub slow: u64,
+    /// Longest lease that it grants.
+    pub max_lease: TimeSpan,
+    /// The highest term that it has seen.
+    pub term: TermNumber,
+    /// The end of its lease by its own clock.
+    pub lease_end: u64,
+    /// Runs in progress.
+    pub running: IndexMap<RunKey, ModelRun>,
+    /// Ends that were not acknowledged.
+    pub ended: Vec<EndedRow>,
+    /// The highest attempt of a task that was stopped or has ended here.
+    closed: IndexMap<TaskKey, u32>,
+    last_number: u64,
+}
+
+impl BatchWorker {
+    /// Creates a worker whose life begins now.
+    #[must_use]
+    pub fn new(entry: WorkerEntry, slow: u64, max_lease: TimeSpan, at: ClockTime) -> Self {
+        Self {
+            entry,
+            mood: WorkerMood::Well,
+            began: at,
+            slow,
+            max_lease,
+            term: TermNumber(0),
+            lease_end: 0,
+            running: IndexMap::new(),
+            ended: Vec::new(),
+            closed: IndexMap::new(),
+            last_number: 0,
+        }
+    }
+
+    /// Returns the worker's clock.
+    #[must_use]
+    pub fn clock(&self, at: ClockTime) -> u64 {
+        let span = at.since(self.began).0;
+        1_000 + span - span * self.slow / 1_000
+    }
+
+    /// Extends the lease, which never shortens.
+    pub fn extend(&mut self, end: u64, at: ClockTime) {
+        let longest = self.clock(at) + self.max_lease.0;
+        self.lease_end = self.lease_end.max(end.min(longest));
+    }
+
+    /// Tells whether the lease has ended.
+    #[must_use]
+    pub fn is_lapsed(&self, at: ClockTime) -> bool {
+        self.clock(at) >= self.lease_end
+    }
+
+    /// Takes the term of an order. Returns a refusal when a newer one was seen.
+    pub fn admit(&mut self, term: TermNumber, at: ClockTime) -> Option<OrderOutcome> {
+        if term < self.term {
+            return Some(self.refuse(OrderRefusal::Fenced, at));
+        }
+        self.term = term;
+        None
+    }
+
+    /// Returns a refusal.
+    #[must_use]
+    pub fn refuse(&self, refusal: OrderRefusal, at: ClockTime) -> OrderOutcome {
+        OrderOutcome::Refused {
+            clock: Some(self.clock(at)),
+            refusal,
+        }
+    }
+
+    /// Returns the answer to an order that was carried out.
+    #[must_use]
+    pub fn done(&self, lists: bool, at: ClockTime) -> OrderOutcome {
+        OrderOutcome::Done {
+            clock: self.clock(at),
+            lists: lists.then(|| Box::new(self.lists())),
+        }
+    }
+
+    /// Tells whether a run that is not higher was stopped or has ended here.
+    #[must_use]
+    pub fn is_old(&self, run: &RunKey) -> bool {
+        let closed = self.closed.get(&run.task);
+        closed.is_some_and(|attempt| *attempt >= run.attempt)
+    }
+
+    /// Stops a run, or rejects one that has not come yet.
+    pub fn stop(&mut self, run: &RunKey, at: ClockTime) {
+        match self.running.get_mut(run) {
+            Some(model) => {
+                model.stops.get_or_insert(at + STOP_TIME);
+            }
+            None => self.close(run),
+        }
+    }
+
+    /// Forgets acknowledged ends.
+    pub fn forget(&mut self, seen: u64) {
+        self.ended.retain(|row| row.number > seen);
+    }
+
+    /// Ends a run.
+    pub fn end(&mut self, run: &RunKey, ending: RunEnding) {
+        self.running.swap_remove(run);
+        self.close(run);
+        self.last_number += 1;
+        self.ended.push(EndedRow {
+            number: self.last_number,
+            run: *run,
+            ending,
+            checkpoint: String::new(),
+        });
+    }
+
+    fn close(&mut self, run: &RunKey) {
+        let closed = self.closed.entry(run.task).or_default();
+        *closed = run.attempt.max(*closed);
+    }
+
+    fn lists(&self) -> WorkerLists {
+        let running = self.running.keys().map(|run| RunningRow {
+            run: *run,
+            checkpoint: String::new(),
+            percent: 0,
+        });
+        WorkerLists {
+            born: Some(self.entry.born),
+            running: running.collect(),
+            ended: self.ended.clone(),
+        }
+    }
+}
--- /dev/null
+++ b/standin/src/batch/world.rs
@@ -0,0 +1,958 @@
+//! Daemons, the store and workers under one clock, with faults between them.
+
+use std::collections::BTreeMap;
+
+use fastrand::Rng;
+use indexmap::IndexMap;
+use indexmap::IndexSet;
+
+use mustardpath_core::batch::catalog::QueueCatalog;
+use mustardpath_core::batch::catalog::QueueConfig;
+use mustardpath_core::batch::job::JobDraft;
+use mustardpath_core::batch::job::JobKey;
+use mustardpath_core::batch::job::JobPhase;
+use mustardpath_core::batch::job::RunKey;
+use mustardpath_core::batch::job::StepKey;
+use mustardpath_core::batch::job::TaskDemand;
+use mustardpath_core::batch::job::WorkerCondition;
+use mustardpath_core::batch::job::WorkerEntry;
+use mustardpath_core::batch::message::BatchEffect;
+use mustardpath_core::batch::message::BatchInput;
+use mustardpath_core::batch::message::CallAction;
+use mustardpath_core::batch::message::OrderOutcome;
+use mustardpath_core::batch::message::OrderRefusal;
+use mustardpath_core::batch::message::QueueAnswer;
+use mustardpath_core::batch::message::QueueCall;
+use mustardpath_core::batch::message::RunEnding;
+use mustardpath_core::batch::message::StoreStream;
+use mustardpath_core::batch::message::StreamChange;
+use mustardpath_core::batch::message::StreamOutcome;
+use mustardpath_core::batch::message::WorkerOrder;
+use mustardpath_core::batch::message::WriteOutcome;
+use mustardpath_core::effect::ControlEffect;
+use mustardpath_core::event::ControlEvent;
+use mustardpath_core::event::EventInput;
+use mustardpath_core::event::ShutdownLevel;
+use mustardpath_core::ids::CallId;
+use mustardpath_core::ids::CallerId;
+use mustardpath_core::ids::TermNumber;
+use mustardpath_core::ids::WorkerName;
+use mustardpath_core::kind::RunStatus;
+use mustardpath_core::reducer;
+use mustardpath_core::settings::DaemonSettings;
+use mustardpath_core::state::DaemonState;
+use mustardpath_core::units::ClockTime;
+use mustardpath_core::units::TimeSpan;
+
+use crate::batch::judge::BatchJudge;
+use crate::batch::judge::JudgedJob;
+use crate::batch::store::KeyedStore;
+use crate::batch::worker::BatchWorker;
+use crate::batch::worker::ModelRun;
+use crate::batch::worker::WorkerMood;
+
+/// Time at which each run begins.
+const START: ClockTime = ClockTime(1_000_000_000);
+
+/// Time between two ticks of a daemon.
+const TICK: TimeSpan = TimeSpan(100);
+
+/// Longest delay of a message, in milliseconds.
+const DELAY: u64 = 4;
+
+/// Time after which a run of an incomplete gang ends by itself.
+const GANG_TIMEOUT: TimeSpan = TimeSpan(3_000);
+
+/// Attempts that may fail.
+pub const MAX_ATTEMPTS: u32 = 4;
+
+/// Host and path of the one queue, which is public.
+const HOST: &str = "jobs.example";
+const PREFIX: &str = "/q/";
+
+/// What disturbs the calls between daemons, store and workers.
+#[derive(Clone, Debug, Default)]
+pub struct BatchFaults {
+    /// Answers of the store that are lost, in thousandths.
+    pub lost_writes: u32,
+    /// Orders that get no answer and are carried out seconds later, in thousandths.
+    pub late_orders: u32,
+    /// Whether the store refuses everybody.
+    pub store_down: bool,
+    /// Daemons that the store does not answer.
+    pub cut_daemons: IndexSet<usize>,
+    /// Workers that no daemon reaches and that do not reach the store.
+    pub cut_workers: IndexSet<WorkerName>,
+}
+
+/// A process of a daemon.
+#[derive(Debug)]
+struct DaemonProcess {
+    settings: DaemonSettings,
+    state: Option<DaemonState>,
+    incarnation: u64,
+    frozen: bool,
+    /// Events that came while the process was frozen.
+    inbox: Vec<EventInput>,
+}
+
+/// What happens at a time.
+#[derive(Debug)]
+enum WorldEvent {
+    Tick(usize, u64),
+    Input(usize, u64, Box<EventInput>),
+    Store(usize, u64, Box<BatchEffect>),
+    Order(usize, u64, Box<OrderCall>),
+    Worker(WorkerName),
+    ParkedRead(usize, u64, StoreStream),
+    ParkedHold(WorkerName, CallId),
+    Heartbeat(WorkerName),
+}
+
+/// An order on its way to a worker.
+#[derive(Clone, Debug)]
+struct OrderCall {
+    call: CallId,
+    worker: WorkerName,
+    term: TermNumber,
+    order: WorkerOrder,
+    /// Whether the answer reaches the daemon.
+    answers: bool,
+    /// The life that it was sent to. Orders on their way end with the worker's process.
+    born: Option<u64>,
+}
+
+/// Daemons, the store and workers under one clock.
+#[derive(Debug)]
+pub struct BatchWorld {
+    /// What disturbs the calls.
+    pub faults: BatchFaults,
+    /// The store.
+    pub store: KeyedStore,
+    /// The judge.
+    pub judge: BatchJudge,
+    /// The workers.
+    pub workers: IndexMap<WorkerName, BatchWorker>,
+    /// Run time of each job's tasks and whether they fail.
+    pub work: IndexMap<JobKey, (TimeSpan, bool)>,
+    at: ClockTime,
+    daemons: Vec<DaemonProcess>,
+    queue: BTreeMap<(ClockTime, u64), WorldEvent>,
+    queued: u64,
+    reads: Vec<(usize, u64, StoreStream, u64)>,
+    holds: Vec<(usize, u64, WorkerName, CallId)>,
+    calls: IndexMap<(usize, CallerId), (JobKey, bool)>,
+    last_caller: u64,
+    rng: Rng,
+    /// Log lines of the daemons, when tracing.
+    pub trace: Option<Vec<String>>,
+}
+
+impl BatchWorld {
+    /// Creates a world whose daemons start at once.
+    #[must_use]
+    pub fn new(seed: u64, settings: Vec<DaemonSettings>, workers: u32) -> Self {
+        let daemons = settings.into_iter().map(|settings| DaemonProcess {
+            settings,
+            state: None,
+            incarnation: 0,
+            frozen: false,
+            inbox: Vec::new(),
+        });
+        let mut world = Self {
+            faults: BatchFaults::default(),
+            store: KeyedStore::default(),
+            judge: BatchJudge::default(),
+            workers: IndexMap::new(),
+            work: IndexMap::new(),
+            at: START,
+            daemons: daemons.collect(),
+            queue: BTreeMap::new(),
+            queued: 0,
+            reads: Vec::new(),
+            holds: Vec::new(),
+            calls: IndexMap::new(),
+            last_caller: 0,
+            rng: Rng::with_seed(seed),
+            trace: None,
+        };
+        world.configure(1);
+        for number in 0..workers {
+            world.add_worker(number);
+        }
+        for daemon in 0..world.daemons.len() {
+            world.start(daemon);
+        }
+        world
+    }
+
+    /// Returns the time.
+    #[must_use]
+    pub const fn now(&self) -> ClockTime {
+        self.at
+    }
+
+    /// Returns the number of daemons.
+    #[must_use]
+    pub fn daemon_count(&self) -> usize {
+        self.daemons.len()
+    }
+
+    /// Returns the daemon that plans, by its own account.
+    #[must_use]
+    pub fn planner(&self) -> Option<usize> {
+        let holds = |process: &DaemonProcess| {
+            let state = process
+                .state
+                .as_ref()
+                .and_then(|state| state.batch.as_ref());
+            state.and_then(|state| Some(state.planner.as_ref()?.term))
+        };
+        let planners = self.daemons.iter().enumerate();
+        let planners = planners.filter_map(|(daemon, process)| Some((holds(process)?, daemon)));
+        planners.max().map(|(_, daemon)| daemon)
+    }
+
+    /// Starts a daemon's process, if it is down.
+    pub fn start(&mut self, daemon: usize) {
+        let process = &mut self.daemons[daemon];
+        if process.state.is_some() {
+            return;
+        }
+        process.incarnation += 1;
+        process.frozen = false;
+        process.inbox.clear();
+        let incarnation = process.incarnation;
+        let unique = incarnation * 100 + daemon as u64;
+        process.state = Some(DaemonState::new(process.settings.clone(), unique));
+        self.schedule(TimeSpan(1), WorldEvent::Tick(daemon, incarnation));
+    }
+
+    /// Kills a daemon's process.
+    pub fn kill(&mut self, daemon: usize) {
+        self.daemons[daemon].state = None;
+        let broken = self
+            .calls
+            .iter()
+            .filter(|((of, _), (_, is_submission))| *of == daemon && *is_submission);
+        let broken: Vec<JobKey> = broken.map(|(_, (job, _))| *job).collect();
+        for job in broken {
+            if let Some(judged) = self.judge.jobs.get_mut(&job) {
+                judged.unclear = true;
+                judged.open = judged.open.saturating_sub(1);
+            }
+        }
+        self.calls.retain(|(of, _), _| *of != daemon);
+    }
+
+    /// Stops a daemon's process in time, or lets it go on.
+    pub fn freeze(&mut self, daemon: usize, frozen: bool) {
+        self.daemons[daemon].frozen = frozen;
+        if !frozen {
+            let inputs = std::mem::take(&mut self.daemons[daemon].inbox);
+            let incarnation = self.daemons[daemon].incarnation;
+            for input in inputs {
+                self.apply(daemon, incarnation, input);
+            }
+        }
+    }
+
+    /// Sends SIGTERM to a daemon's process.
+    pub fn terminate(&mut self, daemon: usize) {
+        let incarnation = self.daemons[daemon].incarnation;
+        let level = ShutdownLevel::Drain;
+        self.apply(daemon, incarnation, EventInput::Shutdown { level });
+    }
+
+    /// Ends a worker's life without notice.
+    pub fn crash_worker(&mut self, worker: &WorkerName) {
+        let mut lost = Vec::new();
+        if let Some(model) = self.workers.get_mut(worker) {
+            model.mood = WorkerMood::Down;
+            lost.extend(model.running.drain(..).map(|(run, _)| run));
+            model.ended.clear();
+        }
+        self.holds.retain(|(_, _, of, _)| of != worker);
+        for run in lost {
+            if self.gang_size(&run.task.step).is_some() {
+                self.end_gang(run, RunEnding::Broken);
+            }
+        }
+    }
+
+    /// Begins a new life of a worker under the same name.
+    pub fn revive_worker(&mut self, worker: &WorkerName) {
+        let at = self.at;
+        if let Some(model) = self.workers.get_mut(worker) {
+            let mut entry = model.entry.clone();
+            entry.born = at.0;
+            entry.condition = WorkerCondition::Ready;
+            *model = BatchWorker::new(entry, model.slow, model.max_lease, at);
+        }
+        self.holds.retain(|(_, _, of, _)| of != worker);
+        self.write_entry(worker);
+    }
+
+    /// Announces that a worker leaves.
+    pub fn drain_worker(&mut self, worker: &WorkerName) {
+        if let Some(model) = self.workers.get_mut(worker) {
+            model.entry.condition = WorkerCondition::Draining;
+        }
+        self.write_entry(worker);
+    }
+
+    /// Removes a worker's entry from the store.
+    pub fn remove_entry(&mut self, worker: &WorkerName) {
+        let change = StreamChange::Worker {
+            worker: worker.clone(),
+            entry: None,
+        };
+        self.store
+            .write(StoreStream::Workers, worker.as_str(), change, true);
+        self.wake_reads();
+    }
+
+    /// Hands a job in at a daemon.
+    pub fn submit(&mut self, daemon: usize, job: JobKey, draft: JobDraft) {
+        let judged = self.judge.jobs.entry(job).or_insert_with(|| JudgedJob {
+            draft: draft.clone(),
+            ..JudgedJob::default()
+        });
+        if self.daemons[daemon].state.is_none() {
+            return;
+        }
+        judged.open += 1;
+        self.call(daemon, job, CallAction::Submit(Box::new(draft)), true);
+    }
+
+    /// Cancels a job at a daemon.
+    pub fn cancel(&mut self, daemon: usize, job: JobKey) {
+        if let Some(judged) = self.judge.jobs.get_mut(&job) {
+            judged.cancelled = true;
+        }
+        self.call(daemon, job, CallAction::Cancel, false);
+    }
+
+    /// Returns the phase of a job at a daemon that is up.
+    #[must_use]
+    pub fn phase(&self, job: JobKey) -> Option<JobPhase> {
+        let states = self
+            .daemons
+            .iter()
+            .filter_map(|daemon| daemon.state.as_ref());
+        let books = states.filter_map(|state| state.batch.as_ref());
+        let entries = books.filter_map(|batch| batch.book.jobs.get(&job));
+        entries.map(|entry| entry.shown_phase()).next()
+    }
+
+    /// Lets time pass.
+    pub fn advance(&mut self, span: TimeSpan) {
+        let until = self.at + span;
+        while let Some(entry) = self.queue.first_entry() {
+            if entry.key().0 > until {
+                break;
+            }
+            let ((at, _), event) = entry.remove_entry();
+            self.at = at;
+            self.happen(event);
+        }
+        self.at = until;
+    }
+
+    /// Ends all faults, brings everything back and waits; then judges.
+    pub fn settle(&mut self, span: TimeSpan) {
+        self.faults = BatchFaults::default();
+        for daemon in 0..self.daemons.len() {
+            self.freeze(daemon, false);
+            self.start(daemon);
+        }
+        let names: Vec<WorkerName> = self.workers.keys().cloned().collect();
+        for worker in names {
+            let model = &mut self.workers[&worker];
+            if model.mood == WorkerMood::Down || model.entry.condition == WorkerCondition::Draining
+            {
+                self.crash_worker(&worker);
+                self.revive_worker(&worker);
+            } else {
+                model.mood = WorkerMood::Well;
+                self.write_entry(&worker);
+            }
+        }
+        self.advance(span);
+        let jobs: Vec<JobKey> = self.judge.jobs.keys().copied().collect();
+        let shown = jobs
+            .iter()
+            .filter_map(|job| Some((*job, self.phase(*job)?)));
+        let shown = shown.collect();
+        self.judge.finish(&shown, MAX_ATTEMPTS);
+    }
+
+    fn configure(&mut self, version: u64) {
+        let queue = QueueConfig {
+            name: "q".into(),
+            host: HOST.to_owned(),
+            prefix: PREFIX.to_owned(),
+            service: "s".into(),
+            priority: 1,
+            max_attempts: MAX_ATTEMPTS,
+            stretch: 3_000,
+            target: TimeSpan(1_000),
+            public: true,
+        };
+        let catalog = QueueCatalog {
+            version,
+            queues: vec![queue],
+            teams: IndexMap::new(),
+        };
+        let change = StreamChange::Catalog(Box::new(catalog));
+        self.store
+            .write(StoreStream::Operator, "config", change, false);
+    }
+
+    fn add_worker(&mut self, number: u32) {
+        let entry = WorkerEntry {
+            service: "s".into(),
+            address: format!("10.9.0.{number}:80"),
+            domain: format!("d{}", number % 2).as_str().into(),
+            condition: WorkerCondition::Ready,
+            capacity: TaskDemand {
+                cpu: 8_000,
+                memory: 8_000,
+                gpu: 4,
+            },
+            labels: vec!["a".into(), format!("r{}", number / 4).as_str().into()],
+            rack: format!("r{}", number / 4).as_str().into(),
+            born: self.at.0,
+            remaining: None,
+        };
+        let name = WorkerName::from(format!("w{number}").as_str());
+        let slow = u64::from(number % 3) * 10;
+        let model = BatchWorker::new(entry, slow, TimeSpan(6_000), self.at);
+        self.workers.insert(name.clone(), model);
+        self.write_entry(&name);
+        self.schedule(TimeSpan(1_500), WorldEvent::Heartbeat(name));
+    }
+
+    fn write_entry(&mut self, worker: &WorkerName) {
+        let Some(model) = self.workers.get(worker) else {
+            return;
+        };
+        if model.mood == WorkerMood::Down || self.faults.cut_workers.contains(worker) {
+            return;
+        }
+        let change = StreamChange::Worker {
+            worker: worker.clone(),
+            entry: Some(Box::new(model.entry.clone())),
+        };
+        self.store
+            .write(StoreStream::Workers, worker.as_str(), change, false);
+        self.wake_reads();
+    }
+
+    fn call(&mut self, daemon: usize, job: JobKey, action: CallAction, is_submission: bool) {
+        if self.daemons[daemon].state.is_none() {
+            return;
+        }
+        self.last_caller += 1;
+        let caller = CallerId(self.last_caller);
+        self.calls.insert((daemon, caller), (job, is_submission));
+        let call = QueueCall {
+            host: HOST.to_owned(),
+            path: format!("{PREFIX}{}", job.text()),
+            credential: None,
+            timeout: Some(TimeSpan(3_000)),
+            action,
+        };
+        let call = Box::new(call);
+        let input = EventInput::Batch(BatchInput::Call { caller, call });
+        let incarnation = self.daemons[daemon].incarnation;
+        self.apply(daemon, incarnation, input);
+    }
+
+    fn answered(&mut self, daemon: usize, caller: CallerId, answer: &QueueAnswer) {
+        let Some((job, is_submission)) = self.calls.swap_remove(&(daemon, caller)) else {
+            return;
+        };
+        let Some(judged) = self.judge.jobs.get_mut(&job) else {
+            return;
+        };
+        if !is_submission {
+            return;
+        }
+        judged.open = judged.open.saturating_sub(1);
+        match answer {
+            QueueAnswer::Accepted => judged.accepted = true,
+            QueueAnswer::Failure(report) => {
+                judged.unclear |= report.kind.answer().run != RunStatus::NotRun;
+            }
+            QueueAnswer::Phase(_) | QueueAnswer::Pending(_) | QueueAnswer::Cancelled => {}
+        }
+    }
+
+    fn schedule(&mut self, delay: TimeSpan, event: WorldEvent) {
+        self.queued += 1;
+        self.queue.insert((self.at + delay, self.queued), event);
+    }
+
+    fn delay(&mut self) -> TimeSpan {
+        TimeSpan(self.rng.u64(1..=DELAY))
+    }
+
+    fn happen(&mut self, event: WorldEvent) {
+        match event {
+            WorldEvent::Tick(daemon, incarnation) => {
+                if self.daemons[daemon].incarnation == incarnation {
+                    if !self.daemons[daemon].frozen {
+                        self.apply(daemon, incarnation, EventInput::Tick);
+                    }
+                    self.schedule(TICK, WorldEvent::Tick(daemon, incarnation));
+                }
+            }
+            WorldEvent::Input(daemon, incarnation, input) => {
+                self.apply(daemon, incarnation, *input);
+            }
+            WorldEvent::Store(daemon, incarnation, effect) => {
+                self.at_store(daemon, incarnation, *effect);
+            }
+            WorldEvent::Order(daemon, incarnation, call) => {
+                self.at_worker(daemon, incarnation, *call);
+            }
+            WorldEvent::Worker(worker) => self.check_worker(&worker),
+            WorldEvent::ParkedRead(daemon, incarnation, stream) => {
+                self.end_read(daemon, incarnation, stream);
+            }
+            WorldEvent::ParkedHold(worker, call) => self.end_hold(&worker, call),
+            WorldEvent::Heartbeat(worker) => {
+                self.write_entry(&worker);
+                self.schedule(TimeSpan(1_500), WorldEvent::Heartbeat(worker));
+            }
+        }
+    }
+
+    fn apply(&mut self, daemon: usize, incarnation: u64, input: EventInput) {
+        let process = &mut self.daemons[daemon];
+        if process.incarnation != incarnation {
+            return;
+        }
+        if process.frozen {
+            process.inbox.push(input);
+            return;
+        }
+        let Some(state) = &mut process.state else {
+            return;
+        };
+        let mut effects = Vec::new();
+        let event = ControlEvent { at: self.at, input };
+        reducer::apply(state, &event, &mut effects);
+        for effect in effects {
+            match effect {
+                ControlEffect::Batch(effect) => self.carry_out(daemon, incarnation, effect),
+                ControlEffect::Exit => self.kill(daemon),
+                ControlEffect::Note { line, part, .. } => {
+                    if let Some(trace) = &mut self.trace {
+                        let at = self.at.since(START);
+                        trace.push(format!("{at} d{daemon} {} {line}", part.prefix()));
+                    }
+                }
+                _ => {}
+            }
+        }
+    }
+
+    fn carry_out(&mut self, daemon: usize, incarnation: u64, effect: BatchEffect) {
+        match effect {
+            BatchEffect::Answer { caller, answer } => self.answered(daemon, caller, &answer),
+            BatchEffect::Readiness { .. } | BatchEffect::CloseCallers => {}
+            BatchEffect::Order {
+                call,
+                worker,
+                term,
+                order,
+                timeout,
+                ..
+            } => self.send_order(daemon, incarnation, call, worker, term, order, timeout),
+            effect => {
+                let delay = self.delay();
+                self.schedule(
+                    delay,
+                    WorldEvent::Store(daemon, incarnation, Box::new(effect)),
+                );
+            }
+        }
+    }
+
+    #[allow(
+        clippy::too_many_arguments,
+        reason = "the parts of one effect are taken apart once"
+    )]
+    fn send_order(
+        &mut self,
+        daemon: usize,
+        incarnation: u64,
+        call: CallId,
+        worker: WorkerName,
+        term: TermNumber,
+        order: WorkerOrder,
+        timeout: TimeSpan,
+    ) {
+        let is_lost = self.rng.u32(0..1_000) < self.faults.late_orders;
+        let is_cut = self.faults.cut_workers.contains(&worker);
+        let born = self.workers.get(&worker).map(|model| model.entry.born);
+        let mut order = OrderCall {
+            call,
+            worker,
+            term,
+            order,
+            answers: true,
+            born,
+        };
+        let mut delay = self.delay();
+        // An answer that comes earlier makes this one meaningless.
+        let input = BatchInput::Order {
+            call,
+            outcome: OrderOutcome::Unknown,
+        };
+        let input = Box::new(EventInput::Batch(input));
+        self.schedule(timeout, WorldEvent::Input(daemon, incarnation, input));
+        if is_lost || is_cut {
+            order.answers = false;
+            delay = TimeSpan(self.rng.u64(2_000..12_000));
+        }
+        if !is_cut {
+            let event = WorldEvent::Order(daemon, incarnation, Box::new(order));
+            self.schedule(delay, event);
+        }
+    }
+
+    fn reply(&mut self, daemon: usize, incarnation: u64, input: BatchInput) {
+        let delay = self.delay();
+        let input = Box::new(EventInput::Batch(input));
+        self.schedule(delay, WorldEvent::Input(daemon, incarnation, input));
+    }
+
+    fn at_store(&mut self, daemon: usize, incarnation: u64, effect: BatchEffect) {
+        let is_away = self.faults.store_down || self.faults.cut_daemons.contains(&daemon);
+        match effect {
+            BatchEffect::Read {
+                stream, from, wait, ..
+            } => {
+                if is_away {
+                    let outcome = StreamOutcome::Failed;
+                    self.reply(daemon, incarnation, BatchInput::Read { stream, outcome });
+                } else if self.store.is_at_end(stream, from) {
+                    self.reads.push((daemon, incarnation, stream, from));
+                    self.schedule(wait, WorldEvent::ParkedRead(daemon, incarnation, stream));
+                } else {
+                    let outcome = self.store.read(stream, from);
+                    self.reply(daemon, incarnation, BatchInput::Read { stream, outcome });
+                }
+            }
+            BatchEffect::ReadNewest { stream, .. } => {
+                let outcome = if is_away {
+                    StreamOutcome::Failed
+                } else {
+                    self.store.read_newest(stream)
+                };
+                self.reply(daemon, incarnation, BatchInput::Read { stream, outcome });
+            }
+            BatchEffect::Write {
+                batch,
+                lane,
+                records,
+                timeout,
+            } => {
+                if is_away {
+                    let outcome = WriteOutcome::Refused;
+                    self.reply(daemon, incarnation, BatchInput::Written { batch, outcome });
+                    return;
+                }
+                let outcome = self.store.append(lane, &records);
+                self.wake_reads();
+                if self.rng.u32(0..1_000) < self.faults.lost_writes {
+                    let outcome = WriteOutcome::Unknown;
+                    let input = BatchInput::Written { batch, outcome };
+                    let input = Box::new(EventInput::Batch(input));
+                    self.schedule(timeout, WorldEvent::Input(daemon, incarnation, input));
+                } else {
+                    self.reply(daemon, incarnation, BatchInput::Written { batch, outcome });
+                }
+            }
+            BatchEffect::Order { .. }
+            | BatchEffect::Answer { .. }
+            | BatchEffect::Readiness { .. }
+            | BatchEffect::CloseCallers => {}
+        }
+    }
+
+    fn wake_reads(&mut self) {
+        let reads = std::mem::take(&mut self.reads);
+        for (daemon, incarnation, stream, from) in reads {
+            if self.store.is_at_end(stream, from) {
+                self.reads.push((daemon, incarnation, stream, from));
+                continue;
+            }
+            let outcome = self.store.read(stream, from);
+            self.reply(daemon, incarnation, BatchInput::Read { stream, outcome });
+        }
+    }
+
+    fn end_read(&mut self, daemon: usize, incarnation: u64, stream: StoreStream) {
+        let parked = self.reads.iter().position(|(of, number, parked, _)| {
+            *of == daemon && *number == incarnation && *parked == stream
+        });
+        let Some(place) = parked else { return };
+        let (_, _, _, from) = self.reads.swap_remove(place);
+        let outcome = StreamOutcome::Records {
+            records: Vec::new(),
+            next: from,
+        };
+        self.reply(daemon, incarnation, BatchInput::Read { stream, outcome });
+    }
+
+    fn at_worker(&mut self, daemon: usize, incarnation: u64, call: OrderCall) {
+        let at = self.at;
+        let Some(model) = self.workers.get_mut(&call.worker) else {
+            return;
+        };
+        if call.born != Some(model.entry.born) {
+            return;
+        }
+        let outcome = if model.mood == WorkerMood::Down {
+            Some(OrderOutcome::NoListener)
+        } else if let Some(refusal) = model.admit(call.term, at) {
+            Some(refusal)
+        } else {
+            self.obey(daemon, incarnation, &call)
+        };
+        if let (Some(outcome), true) = (outcome, call.answers) {
+            let call = call.call;
+            self.reply(daemon, incarnation, BatchInput::Order { call, outcome });
+        }
+    }
+
+    /// Carries an order out. Returns nothing when the answer waits for an end.
+    fn obey(&mut self, daemon: usize, incarnation: u64, call: &OrderCall) -> Option<OrderOutcome> {
+        let at = self.at;
+        let model = self.workers.get_mut(&call.worker)?;
+        match &call.order {
+            WorkerOrder::Hold {
+                lease_end,
+                seen,
+                wait,
+            } => {
+                let noted: Vec<_> = model
+                    .ended
+                    .iter()
+                    .filter(|row| row.number <= *seen)
+                    .collect();
+                let is_lapsed = model.is_lapsed(at);
+                for row in noted {
+                    if row.ending == RunEnding::Done && !is_lapsed {
+                        self.judge.done.insert(row.run.task);
+                    }
+                    if row.ending == RunEnding::Failed {
+                        *self.judge.failed.entry(row.run.task).or_default() += 1;
+                    }
+                }
+                model.forget(*seen);
+                if let Some(end) = lease_end {
+                    model.extend(*end, at);
+                    let worker = call.worker.clone();
+                    self.schedule(TimeSpan(6_300), WorldEvent::Worker(worker));
+                }
+                let model = self.workers.get_mut(&call.worker)?;
+                if wait.0 == 0 || !model.ended.is_empty() || !call.answers {
+                    return Some(model.done(true, at));
+                }
+                let worker = call.worker.clone();
+                self.holds
+                    .push((daemon, incarnation, worker.clone(), call.call));
+                self.schedule(*wait, WorldEvent::ParkedHold(worker, call.call));
+                None
+            }
+            WorkerOrder::Start { run, lease_end, .. } => {
+                if model.running.contains_key(run) {
+                    return Some(model.done(false, at));
+                }
+                model.extend(*lease_end, at);
+                if model.is_old(run) {
+                    return Some(model.refuse(OrderRefusal::Old, at));
+                }
+                if model.clock(at) >= *lease_end {
+                    return Some(model.refuse(OrderRefusal::Late, at));
+                }
+                if model.mood == WorkerMood::Unhealthy {
+                    return Some(model.refuse(OrderRefusal::Unhealthy, at));
+                }
+                self.begin(&call.worker, *run);
+                Some(self.workers.get(&call.worker)?.done(false, at))
+            }
+            WorkerOrder::Stop { run } => {
+                model.stop(run, at);
+                let outcome = model.done(false, at);
+                let worker = call.worker.clone();
+                self.schedule(TimeSpan(200), WorldEvent::Worker(worker));
+                Some(outcome)
+            }
+        }
+    }
+
+    fn begin(&mut self, worker: &WorkerName, run: RunKey) {
+        let at = self.at;
+        self.judge.start(&run, worker, &self.workers, MAX_ATTEMPTS);
+        let work = self.work.get(&run.task.step.job).copied();
+        let (work, fails) = work.unwrap_or((TimeSpan(1_000), false));
+        let is_gang = self.gang_size(&run.task.step).is_some();
+        let Some(model) = self.workers.get_mut(worker) else {
+            return;
+        };
+        let fails = fails || model.mood == WorkerMood::FailsAll;
+        model.running.insert(
+            run,
+            ModelRun {
+                came: at,
+                began: (!is_gang).then_some(at),
+                work,
+                fails,
+                stops: None,
+            },
+        );
+        self.schedule(work, WorldEvent::Worker(worker.clone()));
+        self.schedule(TimeSpan(6_300), WorldEvent::Worker(worker.clone()));
+        if is_gang {
+            self.schedule(GANG_TIMEOUT, WorldEvent::Worker(worker.clone()));
+            self.gather(run);
+        }
+    }
+
+    fn gang_size(&self, step: &StepKey) -> Option<u32> {
+        let job = self.judge.jobs.get(&step.job)?;
+        let definition = job.draft.steps.get(step.step as usize)?;
+        definition.gang.then_some(definition.count)
+    }
+
+    /// Lets a gang work once all its members are there.
+    fn gather(&mut self, run: RunKey) {
+        let Some(size) = self.gang_size(&run.task.step) else {
+            return;
+        };
+        let is_member =
+            |other: &RunKey| other.task.step == run.task.step && other.attempt == run.attempt;
+        let present = self.workers.values().flat_map(|model| model.running.keys());
+        if present.filter(|other| is_member(other)).count() < size as usize {
+            return;
+        }
+        let at = self.at;
+        let mut checks = Vec::new();
+        for (worker, model) in &mut self.workers {
+            for (other, member) in &mut model.running {
+                if is_member(other) {
+                    member.began = Some(at);
+                    checks.push((member.work, worker.clone()));
+                }
+            }
+        }
+        for (work, worker) in checks {
+            self.schedule(work, WorldEvent::Worker(worker));
+        }
+    }
+
+    /// Ends the runs of a worker that are due to end.
+    fn check_worker(&mut self, worker: &WorkerName) {
+        let at = self.at;
+        let Some(model) = self.workers.get(worker) else {
+            return;
+        };
+        let is_lapsed = model.is_lapsed(at);
+        let ends = model.running.iter().filter_map(|(run, member)| {
+            let is_worked = member.began.is_some_and(|began| at >= began + member.work);
+            let is_alone = member.began.is_none() && at >= member.came + GANG_TIMEOUT;
+            let ending = if is_lapsed {
+                RunEnding::Lapsed
+            } else if member.stops.is_some_and(|stops| at >= stops) {
+                RunEnding::Stopped
+            } else if is_worked && member.fails {
+                RunEnding::Failed
+            } else if is_worked {
+                RunEnding::Done
+            } else if is_alone {
+                RunEnding::Alone
+            } else {
+                return None;
+            };
+            Some((*run, ending))
+        });
+        let ends: Vec<(RunKey, RunEnding)> = ends.collect();
+        for (run, ending) in ends {
+            // A member of the same gang can have ended this run.
+            let model = self.workers.get_mut(worker);
+            let model = model.filter(|model| model.running.contains_key(&run));
+            let Some(model) = model else { continue };
+            model.end(&run, ending);
+            match ending {
+                RunEnding::Done => {
+                    self.judge.worked.insert(run.task);
+                }
+                RunEnding::Failed => self.judge.run_failed(&run),
+                _ => {}
+            }
+            if self.gang_size(&run.task.step).is_some() {
+                self.end_gang(run, ending);
+            }
+            self.wake_hold(worker);
+        }
+    }
+
+    /// The members of a gang end together.
+    fn end_gang(&mut self, run: RunKey, ending: RunEnding) {
+        let ending = match ending {
+            RunEnding::Done => RunEnding::Done,
+            _ => RunEnding::Broken,
+        };
+        let mut woken = Vec::new();
+        for (worker, model) in &mut self.workers {
+            let members = model
+                .running
+                .keys()
+                .filter(|other| other.task.step == run.task.step && other.attempt == run.attempt);
+            let members: Vec<RunKey> = members.copied().collect();
+            for member in members {
+                model.end(&member, ending);
+                if ending == RunEnding::Done {
+                    self.judge.worked.insert(member.task);
+                }
+                woken.push(worker.clone());
+            }
+        }
+        for worker in woken {
+            self.wake_hold(&worker);
+        }
+    }
+
+    fn wake_hold(&mut self, worker: &WorkerName) {
+        let waiting = self.holds.iter().filter(|(_, _, of, _)| of == worker);
+        let calls: Vec<CallId> = waiting.map(|(_, _, _, call)| *call).collect();
+        for call in calls {
+            self.end_hold(worker, call);
+        }
+    }
+
+    fn end_hold(&mut self, worker: &WorkerName, call: CallId) {
+        let parked = self
+            .holds
+            .iter()
+            .position(|(_, _, of, number)| of == worker && *number == call);
+        let Some(place) = parked else { return };
+        let (daemon, incarnation, _, call) = self.holds.swap_remove(place);
+        if self.faults.cut_workers.contains(worker) {
+            let outcome = OrderOutcome::Unknown;
+            self.reply(daemon, incarnation, BatchInput::Order { call, outcome });
+            return;
+        }
+        let Some(model) = self.workers.get(worker) else {
+            return;
+        };
+        let outcome = model.done(true, self.at);
+        self.reply(daemon, incarnation, BatchInput::Order { call, outcome });
+    }
+}
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -9,6 +9,7 @@
 #[macro_use]
 mod utils;
 
+pub mod batch;
 pub mod checker;
 mod delivery;
 pub mod driver;
--- /dev/null
+++ b/standin/tests/batch_interleavings.rs
@@ -0,0 +1,164 @@
+//! Random interleavings of the faults of the users' platform.
+//!
+//! CI plays a fixed number of draws, each from a seed of its own. More of them:
+//! `FIRST_SEED=1000 INTERLEAVINGS=5000 cargo test --release -p mustardpath-standin --test
+//! batch_interleavings -- --nocapture`
+
+// Each test program uses some of the shared parts.
+#[allow(dead_code)]
+mod worlds;
+
+use fastrand::Rng;
+
+use mustardpath_core::batch::job::JobDraft;
+use mustardpath_core::batch::job::JobKey;
+use mustardpath_core::ids::WorkerName;
+use mustardpath_core::units::TimeSpan;
+use mustardpath_standin::batch::worker::WorkerMood;
+use mustardpath_standin::batch::world::BatchWorld;
+
+/// Draws of a run in CI.
+const DRAWS: u64 = 400;
+
+/// Moves of one draw.
+const MOVES: u32 = 40;
+
+/// Daemons of a world.
+const DAEMONS: usize = 3;
+
+/// Workers of a world.
+const WORKERS: u32 = 8;
+
+/// Time after the last fault by which all work must be done.
+const SETTLE_TIME: TimeSpan = TimeSpan(90_000);
+
+fn draw_job(rng: &mut Rng) -> JobDraft {
+    let mut steps = Vec::new();
+    for place in 0..rng.u32(1..=2) {
+        let mut step = worlds::step(rng.u32(1..=5), rng.u64(0..=2));
+        step.gang = rng.bool();
+        step.rack_sensitive = rng.bool();
+        if place > 0 && rng.bool() {
+            step.after = vec![0];
+        }
+        steps.push(step);
+    }
+    worlds::job(steps)
+}
+
+fn some_worker(rng: &mut Rng) -> WorkerName {
+    WorkerName::from(format!("w{}", rng.u32(0..WORKERS)).as_str())
+}
+
+fn fault(world: &mut BatchWorld, rng: &mut Rng) {
+    let daemon = rng.usize(0..DAEMONS);
+    let worker = some_worker(rng);
+    match rng.u32(0..19) {
+        0 => world.kill(daemon),
+        1 => (0..DAEMONS).for_each(|daemon| world.kill(daemon)),
+        2 => world.freeze(daemon, true),
+        3 => world.freeze(daemon, false),
+        4 => world.terminate(daemon),
+        5 => world
+            .planner()
+            .into_iter()
+            .for_each(|daemon| world.kill(daemon)),
+        6 => world
+            .planner()
+            .into_iter()
+            .for_each(|daemon| world.freeze(daemon, true)),
+        7 => world.faults.store_down = true,
+        8 => {
+            world.faults.cut_daemons.insert(daemon);
+        }
+        9 => world.faults.lost_writes = 300,
+        10 => world.faults.late_orders = 200,
+        11 => world.store.forget_history(),
+        12 => world.crash_worker(&worker),
+        13 => {
+            world.crash_worker(&worker);
+            world.revive_worker(&worker);
+        }
+        14 => {
+            world.faults.cut_workers.insert(worker);
+        }
+        15 => world.drain_worker(&worker),
+        16 => world.remove_entry(&worker),
+        17 => {
+            if let Some(model) = world.workers.get_mut(&worker) {
+                if model.mood != WorkerMood::Down {
+                    model.mood = if rng.bool() {
+                        WorkerMood::FailsAll
+                    } else {
+                        WorkerMood::Unhealthy
+                    };
+                }
+            }
+        }
+        _ => {
+            world.faults.store_down = false;
+            world.faults.cut_daemons.clear();
+            world.faults.cut_workers.clear();
+            (0..DAEMONS).for_each(|daemon| world.start(daemon));
+        }
+    }
+}
+
+fn play(seed: u64, tracing: bool) -> (Vec<String>, Vec<String>) {
+    let mut rng = Rng::with_seed(seed);
+    let mut world = worlds::world(seed, DAEMONS, WORKERS);
+    if tracing {
+        world.trace = Some(Vec::new());
+    }
+    let mut jobs: Vec<JobKey> = Vec::new();
+    for number in 0..MOVES {
+        world.advance(TimeSpan(rng.u64(10..700)));
+        match rng.u32(0..10) {
+            0..=4 => {
+                let job = worlds::key(u64::from(number));
+                let work = TimeSpan(rng.u64(200..4_000));
+                world.work.insert(job, (work, rng.u32(0..20) == 0));
+                jobs.push(job);
+                let draft = draw_job(&mut rng);
+                world.submit(rng.usize(0..DAEMONS), job, draft.clone());
+                // The same submission comes again through another daemon.
+                if rng.bool() {
+                    world.submit(rng.usize(0..DAEMONS), job, draft);
+                }
+            }
+            5 if !jobs.is_empty() => {
+                let job = jobs[rng.usize(0..jobs.len())];
+                world.cancel(rng.usize(0..DAEMONS), job);
+            }
+            _ => fault(&mut world, &mut rng),
+        }
+    }
+    world.settle(SETTLE_TIME);
+    let trace = world.trace.take().unwrap_or_default();
+    (world.judge.broken, trace)
+}
+
+fn number(variable: &str) -> Option<u64> {
+    std::env::var(variable).ok()?.parse().ok()
+}
+
+/// Guards against faults that break a promise only together or in a certain order.
+#[test]
+fn random_interleavings_keep_all_promises() {
+    let first = number("FIRST_SEED").unwrap_or(0);
+    let count = number("INTERLEAVINGS").unwrap_or(DRAWS);
+    let tracing = std::env::var("INTERLEAVINGS_TRACE").is_ok();
+    let mut failures = Vec::new();
+    for seed in first..first + count {
+        let (broken, trace) = play(seed, tracing);
+        if !broken.is_empty() {
+            failures.push(format!("seed {seed}: {broken:#?}\n{}", trace.join("\n")));
+        }
+    }
+    assert!(
+        failures.is_empty(),
+        "{} of {count} draws failed:\n{}",
+        failures.len(),
+        failures.join("\n")
+    );
+}
--- /dev/null
+++ b/standin/tests/worlds/mod.rs
@@ -0,0 +1,73 @@
+//! Worlds and jobs that the tests of the batch subsystem share.
+
+use mustardpath_core::batch::job::JobDraft;
+use mustardpath_core::batch::job::JobKey;
+use mustardpath_core::batch::job::StepDefinition;
+use mustardpath_core::batch::job::TaskDemand;
+use mustardpath_core::batch::settings::BatchSettings;
+use mustardpath_core::config::KeyDigest;
+use mustardpath_core::settings::DaemonSettings;
+use mustardpath_core::units::TimeSpan;
+use mustardpath_standin::batch::world::BatchWorld;
+
+/// Returns the settings of a daemon on the platform.
+pub fn settings(number: usize) -> DaemonSettings {
+    DaemonSettings {
+        daemon: format!("daemon-{number}").as_str().into(),
+        region: "south".into(),
+        domain: format!("d{}", number % 2).as_str().into(),
+        caller_address: "127.0.0.1:1".into(),
+        peer_address: "127.0.0.1:2".into(),
+        log_address: "127.0.0.1:3".into(),
+        vms_address: "127.0.0.1:4".into(),
+        statsd_address: None,
+        operator_key_sha256: KeyDigest::of(""),
+        policy: Default::default(),
+        timing: Default::default(),
+        limits: Default::default(),
+        batch: Some(BatchSettings {
+            ready_address: "127.0.0.1:5".into(),
+            metrics_address: None,
+            max_lease: TimeSpan(6_000),
+            revocation: TimeSpan(5_000),
+            reclaim: TimeSpan(2_700),
+            grace: std::time::Duration::from_secs(6),
+        }),
+    }
+}
+
+/// Returns a world whose daemons have a planner.
+pub fn world(seed: u64, daemons: usize, workers: u32) -> BatchWorld {
+    let settings = (0..daemons).map(settings).collect();
+    let mut world = BatchWorld::new(seed, settings, workers);
+    world.advance(TimeSpan(2_000));
+    world
+}
+
+/// Returns a step of single tasks.
+pub fn step(count: u32, gpu: u64) -> StepDefinition {
+    StepDefinition {
+        count,
+        demand: TaskDemand {
+            cpu: 1_000,
+            memory: 500,
+            gpu,
+        },
+        estimate: TimeSpan(1_000),
+        ..StepDefinition::default()
+    }
+}
+
+/// Returns a job.
+pub fn job(steps: Vec<StepDefinition>) -> JobDraft {
+    JobDraft {
+        spec: "text".into(),
+        steps,
+        ..JobDraft::default()
+    }
+}
+
+/// Returns the key of a numbered job.
+pub fn key(number: u64) -> JobKey {
+    JobKey(0xabc0_0000 + number)
+}
