Claim terms on confirmed silence only, let a new planner list workers first

A new planner placed and evicted on the few workers that had answered first (35 gangs stopped within 10 ms of a takeover).

--- a/core/src/batch/planner.rs
+++ b/core/src/batch/planner.rs
@@ -493,8 +493,10 @@
         return;
     }
     let line = format!(
-        "job={} outcome={phase:?} after_ms={}",
+        "job={} outcome={phase:?} priority={} estimate_ms={} after_ms={}",
         job.text(),
+        definition.priority,
+        definition.draft.longest_chain(),
         context.at.since(definition.accepted_at)
     );
     context.info(LogPart::Plan, line);
--- a/core/src/batch/round.rs
+++ b/core/src/batch/round.rs
@@ -34,6 +34,9 @@
 /// Longest life of a claim on room that is being made.
 const CLAIM_TIME: TimeSpan = TimeSpan(1_500);
 
+/// Longest time that a new planner waits for the lists of all workers.
+const LISTING_WAIT: TimeSpan = TimeSpan(250);
+
 /// Time that an urgent unit waits for room before other runs are stopped for it.
 const EVICTION_WAIT: TimeSpan = TimeSpan(100);
 
@@ -41,7 +44,7 @@
 const GPU_CORES: u64 = 8;
 
 /// Share of the reclaim bound, in tenths, after which an urgent unit takes any place.
-const ANY_PLACE_TENTHS: u64 = 5;
+const ANY_PLACE_TENTHS: u64 = 7;
 
 /// Room on workers that is kept for a unit.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -75,8 +78,11 @@
     if state.stopping.is_some() || !state.planner_lane.is_empty() && !planner.dirty {
         return;
     }
-    planner.dirty = false;
     let at = context.at;
+    if !knows_workers(planner, at) {
+        return;
+    }
+    planner.dirty = false;
     planner
         .claims
         .retain(|_, claim| at.since(claim.since) < CLAIM_TIME);
@@ -84,6 +90,13 @@
     carry_out(state, plan, context);
 }
 
+/// A planner that has just taken over waits for the workers' lists. Otherwise it would crowd its
+/// work onto the few that answered first, and stop other work there to make room.
+fn knows_workers(planner: &PlannerState, at: ClockTime) -> bool {
+    let has_waited = at.since(planner.since) >= LISTING_WAIT;
+    has_waited || (!planner.workers.is_empty() && planner.workers.values().all(|life| life.listed))
+}
+
 fn decide(state: &BatchState, at: ClockTime) -> RoundPlan {
     let mut plan = RoundPlan::default();
     let Some(planner) = &state.planner else {
@@ -192,8 +205,8 @@
     at: ClockTime,
 ) -> RackRule {
     let urgent_bound = TimeSpan(state.settings.reclaim.0 * ANY_PLACE_TENTHS / 10);
-    let is_urgent =
-        unit.definition.priority == 0 && at.since(unit.definition.accepted_at) >= urgent_bound;
+    let known_since = unit.ready_at.max(planner_since(state));
+    let is_urgent = unit.definition.priority == 0 && at.since(known_since) >= urgent_bound;
     let is_late = at >= unit.latest_start();
     if is_urgent || is_late || !placement::can_be_near(rooms, unit.step) {
         RackRule::Any
@@ -202,6 +215,12 @@
     }
 }
 
+/// Returns when the present planner's term began.
+fn planner_since(state: &BatchState) -> ClockTime {
+    let planner = state.planner.as_ref();
+    planner.map_or(ClockTime(0), |planner| planner.since)
+}
+
 fn place_unit<'a>(
     state: &BatchState,
     unit: &WaitingUnit<'_>,
@@ -259,6 +278,7 @@
     at: ClockTime,
     plan: &mut RoundPlan,
 ) {
+    let gangs = gang_costs(planner, at);
     let mut candidates = Vec::new();
     for (place, room) in rooms.iter().enumerate() {
         let Some(life) = planner.workers.get(room.worker) else {
@@ -272,7 +292,10 @@
                     place,
                     run: *run,
                     demand: slot.demand,
-                    cost: lost_work(slot, at),
+                    cost: gangs
+                        .get(&run.task.step)
+                        .copied()
+                        .unwrap_or_else(|| lost_work(slot, at)),
                 });
             }
         }
@@ -289,13 +312,23 @@
     plan.evictions.extend(choice.runs);
 }
 
+/// Returns what it costs to stop a member of each gang, which stops the whole gang.
+fn gang_costs(planner: &PlannerState, at: ClockTime) -> IndexMap<StepKey, u64> {
+    let mut costs = IndexMap::new();
+    for life in planner.workers.values() {
+        for (run, slot) in life.runs.iter().filter(|(_, slot)| slot.gang) {
+            *costs.entry(run.task.step).or_default() += lost_work(slot, at);
+        }
+    }
+    costs
+}
+
 /// Returns the work that a stop loses, in core-seconds, with a floor for the restart.
 fn lost_work(slot: &RunSlot, at: ClockTime) -> u64 {
     let cores = slot.demand.cpu / 1_000 + slot.demand.gpu * GPU_CORES;
     let seconds = at.since(slot.placed).0 / 1_000 + 1;
-    let members = if slot.gang { 4 } else { 1 };
     let saved = if slot.checkpoint.is_empty() { 1 } else { 4 };
-    cores * seconds * members / saved / u64::from(slot.priority.max(1))
+    cores * seconds / saved / u64::from(slot.priority.max(1))
 }
 
 fn carry_out(state: &mut BatchState, plan: RoundPlan, context: &mut StepContext<'_>) {
--- a/core/src/batch/step.rs
+++ b/core/src/batch/step.rs
@@ -26,7 +26,10 @@
 use crate::ids::BatchId;
 use crate::units::TimeSpan;
 
-/// Longest wait of a read of the batch or the operators' topic.
+/// Longest wait of a read of the batch topic. The silence of a planner shows in such steps.
+const BATCH_WAIT: TimeSpan = TimeSpan(400);
+
+/// Longest wait of a read of the operators' or the workers' topic.
 const LONG_WAIT: TimeSpan = TimeSpan(1_000);
 
 /// Pause between reads of the batch topic at a daemon that does not plan. Callers see states
@@ -120,7 +123,7 @@
         FOLLOWER_PAUSE
     };
     TailPace {
-        wait: LONG_WAIT,
+        wait: BATCH_WAIT,
         pause,
     }
 }
--- a/core/src/batch/tail.rs
+++ b/core/src/batch/tail.rs
@@ -11,7 +11,7 @@
 use crate::units::TimeSpan;
 
 /// Time for an answer of the store beyond the wait that was asked for.
-const READ_TIME: TimeSpan = TimeSpan(1_000);
+const READ_TIME: TimeSpan = TimeSpan(600);
 
 /// Wait before a failed read is tried again.
 const RETRY_WAIT: TimeSpan = TimeSpan(150);
--- a/core/src/batch/term.rs
+++ b/core/src/batch/term.rs
@@ -47,6 +47,8 @@
     last_sign: ClockTime,
     /// The claim in flight and when it was made.
     claim: Option<(TermNumber, ClockTime)>,
+    /// The newest term that this process has held. It takes no term twice.
+    last_held: TermNumber,
     /// Whether this daemon held the term until the topic was loaded anew.
     reclaims: bool,
     /// Number of the next append of the term that is claimed or held.
@@ -102,7 +104,7 @@
         }
         return;
     }
-    if state.stopping.is_none() && is_vacant(state, context.at) {
+    if state.stopping.is_none() && is_vacant(state) {
         claim(state, context);
     }
 }
@@ -115,8 +117,13 @@
     let is_mine =
         record.holder.as_ref() == Some(&state.daemon) && record.incarnation == state.incarnation;
     let held = state.planner.as_ref().map(|planner| planner.term);
-    if is_mine && held.is_none() && state.term.claim.map(|(term, _)| term) == Some(record.term) {
+    // A claim can be stored long after it was sent, and then it holds all the same.
+    let is_new = record.term > state.term.last_held;
+    if is_mine && is_new && held.is_none() && state.stopping.is_none() {
+        state.term.last_held = record.term;
+        state.planner_lane.clear();
         state.term.claim = None;
+        state.term.sequence = 1;
         context.info(LogPart::Term, format!("term={} outcome=held", record.term));
         context.count(MetricName::TermsClaimed, 1);
         state.planner = Some(Box::new(PlannerState::new(record.term, context.at)));
@@ -199,18 +206,19 @@
     })
 }
 
-/// Silence counts only while this daemon could have heard the planner.
-fn is_vacant(state: &BatchState, at: ClockTime) -> bool {
-    let Some(healthy) = state.batch_tail.healthy_since() else {
+/// Silence counts only as far as the store has confirmed it: a read that hangs is no silence.
+fn is_vacant(state: &BatchState) -> bool {
+    let tail = &state.batch_tail;
+    let (Some(healthy), Some(confirmed)) = (tail.healthy_since(), tail.confirmed()) else {
         return false;
     };
-    if !state.batch_tail.is_loaded() {
+    if !tail.is_loaded() {
         return false;
     }
     if state.term.reclaims {
         return true;
     }
-    let silence = at.since(state.term.last_sign.max(healthy));
+    let silence = confirmed.since(state.term.last_sign.max(healthy));
     let holder = state
         .book
         .term
