Act on confirmed records at once, refuse only while the store is away

And a planner that reads its own records back stands still for a second whenever the store's reads do (platform_compact). Change: submissions are refused while an append is stuck or reads fail; records take effect at a daemon when their append is confirmed.

--- a/core/src/batch/book.rs
+++ b/core/src/batch/book.rs
@@ -37,9 +37,10 @@
         pub jobs: IndexMap<JobKey, JobEntry>,
         /// The newest term.
         pub term: Option<TermRecord>,
-        /// Offsets of records that were loaded with the newest of each key. Older records of the
-        /// same keys that are read after the load change nothing.
-        loaded: IndexMap<RecordKey, u64>,
+        /// Offsets of records that are known before the topic was read up to them: those that were
+        /// loaded with the newest of each key, and those whose append was confirmed. Records of
+        /// the same keys that are read later and are not newer change nothing.
+        known: IndexMap<RecordKey, u64>,
     }
 }
 
@@ -120,22 +121,34 @@
         let mut book = Self::default();
         for (offset, record) in records {
             book.change(record);
-            book.loaded.insert(record.key, *offset);
+            book.known.insert(record.key, *offset);
         }
         book
     }
 
     /// Applies a record that was read from the topic.
     pub fn apply(&mut self, offset: u64, record: &BatchRecord) -> BookChange {
-        if let Some(loaded) = self.loaded.get(&record.key) {
-            if offset <= *loaded {
+        if let Some(known) = self.known.get(&record.key).copied() {
+            if offset >= known {
+                self.known.swap_remove(&record.key);
+            }
+            if offset <= known {
                 return BookChange::None;
             }
-            self.loaded.swap_remove(&record.key);
         }
         self.change(record)
     }
 
+    /// Applies a record whose append was confirmed, before it is read back.
+    pub fn apply_confirmed(&mut self, offset: u64, record: &BatchRecord) -> BookChange {
+        let known = self.known.get(&record.key).copied();
+        if known.is_some_and(|known| known >= offset) {
+            return BookChange::None;
+        }
+        self.known.insert(record.key, offset);
+        self.change(record)
+    }
+
     /// Returns the number of a queue's jobs for which no task has begun.
     #[must_use]
     pub fn pending(&self, queue: &QueueName) -> u64 {
--- a/core/src/batch/intake.rs
+++ b/core/src/batch/intake.rs
@@ -33,7 +33,7 @@
 /// Time before the caller's timeout at which an open call is answered.
 const ANSWER_MARGIN: TimeSpan = TimeSpan(150);
 
-/// Longest time that a store may refuse or not answer appends before new submissions are refused.
+/// Longest time that an append may take before new submissions are refused.
 const STORE_PATIENCE: TimeSpan = TimeSpan(500);
 
 /// Greatest age of the batch topic at which an unknown job counts as not existing.
@@ -277,8 +277,7 @@
     timeout: Option<TimeSpan>,
     context: &mut StepContext<'_>,
 ) {
-    let failing = state.intake_lane.failing_since();
-    if failing.is_some_and(|since| context.at.since(since) > STORE_PATIENCE) {
+    if is_store_away(state, context.at) {
         let report = FailureReport::new(ErrorKind::LogUnavailable, "the store is out of reach");
         return refuse(caller, &job.text(), report, context);
     }
@@ -292,6 +291,13 @@
     state.intake_lane.push(record, Some(caller));
 }
 
+/// The store is away when it has stopped answering reads, or an append is stuck.
+fn is_store_away(state: &BatchState, at: ClockTime) -> bool {
+    let open = state.intake_lane.open_since();
+    let is_stuck = open.is_some_and(|since| at.since(since) > STORE_PATIENCE);
+    is_stuck || state.batch_tail.healthy_since().is_none()
+}
+
 fn note(job: JobKey, outcome: &str, context: &mut StepContext<'_>) {
     context.info(
         LogPart::Request,
--- a/core/src/batch/message.rs
+++ b/core/src/batch/message.rs
@@ -134,7 +134,10 @@
     #[derive(Copy, Hash)]
     pub enum WriteOutcome {
         /// It is stored.
-        Stored,
+        Stored {
+            /// The offset of its first record.
+            offset: u64,
+        },
         /// The store refused it and did nothing; trying again may help.
         Refused,
         /// A newer epoch has written, or the sequence does not follow.
--- a/core/src/batch/step.rs
+++ b/core/src/batch/step.rs
@@ -14,12 +14,14 @@
 use crate::batch::orders;
 use crate::batch::planner;
 use crate::batch::record::BatchRecord;
+use crate::batch::record::RecordKey;
 use crate::batch::round;
 use crate::batch::settings::BatchSettings;
 use crate::batch::state::BatchState;
 use crate::batch::tail::TailNews;
 use crate::batch::tail::TailPace;
 use crate::batch::term;
+use crate::batch::writer::WriteNews;
 use crate::context::StepContext;
 use crate::effect::ControlEffect;
 use crate::effect::LogPart;
@@ -275,17 +277,31 @@
 ) {
     let at = context.at;
     if let Some(news) = state.intake_lane.take(batch, outcome, false, at) {
+        confirmed(state, &news, context);
         intake::written(state, &news, context);
         return;
     }
     if let Some(news) = state.planner_lane.take(batch, outcome, true, at) {
         state.term.written(&news);
+        confirmed(state, &news, context);
         if news.is_fenced {
             term::resign(state, "the store has seen a newer epoch", context);
         }
     }
 }
 
+/// Acts on records as soon as their append is confirmed. A claim of the term is left to be read
+/// back, because two claims of one term get the same answer.
+fn confirmed(state: &mut BatchState, news: &WriteNews, context: &mut StepContext<'_>) {
+    for (offset, record) in &news.records {
+        if record.key == RecordKey::Term {
+            continue;
+        }
+        let change = state.book.apply_confirmed(*offset, record);
+        book_changed(state, change, context);
+    }
+}
+
 /// Ends the process once its callers are answered and the balancer had time to turn away.
 fn finish_stop(state: &BatchState, context: &mut StepContext<'_>) {
     let Some(since) = state.stopping else { return };
--- a/core/src/batch/writer.rs
+++ b/core/src/batch/writer.rs
@@ -48,8 +48,6 @@
     waiting: Vec<WaitingRecord>,
     open: Option<OpenBatch>,
     next_batch: u64,
-    /// Since when the store has refused appends or left them unanswered.
-    failing_since: Option<ClockTime>,
 }
 
 /// What an ended append means.
@@ -61,6 +59,8 @@
     pub refused: Vec<CallerId>,
     /// Whether the batch is stored.
     pub is_stored: bool,
+    /// Its records with their offsets.
+    pub records: Vec<(u64, BatchRecord)>,
     /// Whether a newer epoch has written.
     pub is_fenced: bool,
 }
@@ -73,7 +73,6 @@
             waiting: Vec::new(),
             open: None,
             next_batch: first_batch,
-            failing_since: None,
         }
     }
 
@@ -95,12 +94,6 @@
         self.len() == 0
     }
 
-    /// Returns since when the store has not taken appends.
-    #[must_use]
-    pub const fn failing_since(&self) -> Option<ClockTime> {
-        self.failing_since
-    }
-
     /// Returns when the batch in flight was first sent.
     #[must_use]
     pub fn open_since(&self) -> Option<ClockTime> {
@@ -122,7 +115,6 @@
     pub fn clear(&mut self) {
         self.waiting.clear();
         self.open = None;
-        self.failing_since = None;
     }
 
     /// Sends the next batch, or the same one again when that is due.
@@ -167,17 +159,17 @@
         let open = self.open.as_mut().filter(|open| open.batch == batch)?;
         let mut news = WriteNews::default();
         match outcome {
-            WriteOutcome::Stored => {
+            WriteOutcome::Stored { offset } => {
                 news.is_stored = true;
+                let records = open.records.iter().map(|waiting| waiting.record.clone());
+                news.records = (offset..).zip(records).collect();
                 news.stored = self.close();
-                self.failing_since = None;
             }
             WriteOutcome::Fenced => {
                 news.is_fenced = true;
                 news.refused = self.close();
             }
             WriteOutcome::Refused | WriteOutcome::Undelivered => {
-                self.failing_since.get_or_insert(at);
                 if open.unclear || keeps_trying {
                     open.resend = Some(at + RESEND_WAIT);
                 } else {
@@ -185,7 +177,6 @@
                 }
             }
             WriteOutcome::Unknown => {
-                self.failing_since.get_or_insert(at);
                 open.unclear = true;
                 open.resend = Some(at);
             }
--- a/src/entry/outward.rs
+++ b/src/entry/outward.rs
@@ -90,7 +90,7 @@
             let call = store::append(lane, &records);
             let reply = context.pool.call(&context.store, call, span(timeout)).await;
             let outcome = match reply {
-                Ok(reply) => store::append_outcome(reply.status),
+                Ok(reply) => store::append_outcome(reply.status, &reply.body),
                 Err(CallFailure::Undelivered | CallFailure::NoListener) => {
                     WriteOutcome::Undelivered
                 }
--- a/standin/tests/worlds/mod.rs
+++ b/standin/tests/worlds/mod.rs
@@ -71,3 +71,11 @@
 pub fn key(number: u64) -> JobKey {
     JobKey(0xabc0_0000 + number)
 }
+
+/// Returns the time of the first line of the trace with the given text, in milliseconds.
+pub fn time_of(world: &BatchWorld, text: &str) -> u64 {
+    let lines = world.trace.as_deref().unwrap_or_default();
+    let line = lines.iter().find(|line| line.contains(text));
+    let time = line.and_then(|line| line.split(' ').next()?.parse().ok());
+    time.unwrap_or_else(|| panic!("no line with {text:?} in {lines:#?}"))
+}
