Keep two workers of each rack for urgent gangs and make room for them at once

Change: work of lower priority leaves the two emptiest workers of each rack alone until its own latest start, unless its gang needs them; running work is stopped in the round in which an urgent gang finds no room, not 100 ms later. The tests fail without the reserve.

--- a/core/src/batch/round.rs
+++ b/core/src/batch/round.rs
@@ -37,8 +37,8 @@
 /// Longest time that a new planner waits for the lists of all workers.
 const LISTING_WAIT: TimeSpan = TimeSpan(250);
 
-/// Time that an urgent unit waits for room before other runs are stopped for it.
-const EVICTION_WAIT: TimeSpan = TimeSpan(100);
+/// Workers of each rack that are left to urgent work while other work can still wait.
+const RESERVED_WORKERS: usize = 2;
 
 /// A GPU counts as this many cores in the cost of lost work.
 const GPU_CORES: u64 = 8;
@@ -161,7 +161,7 @@
                     room.take(&unit.step.room());
                 }
             }
-        } else if unit.definition.priority == 0 && at.since(unit.ready_at) >= EVICTION_WAIT {
+        } else if unit.definition.priority == 0 {
             make_room(planner, unit, &rooms, at, &mut plan);
         }
     }
@@ -194,7 +194,33 @@
             same_step: u32::try_from(of_step.count()).unwrap_or(u32::MAX),
         }
     });
-    room.collect()
+    let mut rooms: Vec<WorkerRoom<'a>> = room.collect();
+    if unit.definition.priority > 0 && at < unit.latest_start() {
+        let rest = without_reserve(&rooms);
+        if placement::can_be_near(&rest, unit.step) {
+            rooms = rest;
+        }
+    }
+    rooms
+}
+
+/// Returns the view without the emptiest workers of each rack, so that urgent gangs find room in
+/// one rack without stopping other work first.
+fn without_reserve<'a>(rooms: &[WorkerRoom<'a>]) -> Vec<WorkerRoom<'a>> {
+    let mut racks: IndexMap<&RackName, Vec<(u64, usize)>> = IndexMap::new();
+    for (place, room) in rooms.iter().enumerate() {
+        let rack = racks.entry(room.rack).or_default();
+        rack.push((room.free.gpu, place));
+    }
+    let mut reserved = Vec::new();
+    for rack in racks.values_mut() {
+        rack.sort_unstable();
+        let emptiest = rack.iter().rev().take(RESERVED_WORKERS);
+        reserved.extend(emptiest.map(|(_, place)| *place));
+    }
+    let kept = rooms.iter().enumerate();
+    let kept = kept.filter(|(place, _)| !reserved.contains(place));
+    kept.map(|(_, room)| room.clone()).collect()
 }
 
 /// An urgent or late unit takes any place; others wait for one at full speed.
--- a/standin/src/batch/world.rs
+++ b/standin/src/batch/world.rs
@@ -66,9 +66,9 @@
 /// Attempts that may fail.
 pub const MAX_ATTEMPTS: u32 = 4;
 
-/// Host and path of the one queue, which is public.
+/// Host of the queues, which are public, and their paths by priority.
 const HOST: &str = "jobs.example";
-const PREFIX: &str = "/q/";
+const PREFIXES: [&str; 2] = ["/urgent/", "/q/"];
 
 /// What disturbs the calls between daemons, store and workers.
 #[derive(Clone, Debug, Default)]
@@ -133,6 +133,8 @@
     pub judge: BatchJudge,
     /// The workers.
     pub workers: IndexMap<WorkerName, BatchWorker>,
+    /// Jobs that are handed in to the urgent queue.
+    pub urgent: IndexSet<JobKey>,
     /// Run time of each job's tasks and whether they fail.
     pub work: IndexMap<JobKey, (TimeSpan, bool)>,
     at: ClockTime,
@@ -164,6 +166,7 @@
             store: KeyedStore::default(),
             judge: BatchJudge::default(),
             workers: IndexMap::new(),
+            urgent: IndexSet::new(),
             work: IndexMap::new(),
             at: START,
             daemons: daemons.collect(),
@@ -388,12 +391,12 @@
     }
 
     fn configure(&mut self, version: u64) {
-        let queue = QueueConfig {
-            name: "q".into(),
+        let queue = |(priority, prefix): (u32, &&str)| QueueConfig {
+            name: (*prefix).into(),
             host: HOST.to_owned(),
-            prefix: PREFIX.to_owned(),
+            prefix: (*prefix).to_owned(),
             service: "s".into(),
-            priority: 1,
+            priority,
             max_attempts: MAX_ATTEMPTS,
             stretch: 3_000,
             target: TimeSpan(1_000),
@@ -401,7 +404,7 @@
         };
         let catalog = QueueCatalog {
             version,
-            queues: vec![queue],
+            queues: (0..).zip(&PREFIXES).map(queue).collect(),
             teams: IndexMap::new(),
         };
         let change = StreamChange::Catalog(Box::new(catalog));
@@ -456,9 +459,10 @@
         self.last_caller += 1;
         let caller = CallerId(self.last_caller);
         self.calls.insert((daemon, caller), (job, is_submission));
+        let prefix = PREFIXES[usize::from(!self.urgent.contains(&job))];
         let call = QueueCall {
             host: HOST.to_owned(),
-            path: format!("{PREFIX}{}", job.text()),
+            path: format!("{prefix}{}", job.text()),
             credential: None,
             timeout: Some(TimeSpan(3_000)),
             action,
--- /dev/null
+++ b/standin/tests/batch_load.rs
@@ -0,0 +1,61 @@
+//! Load patterns of the users' platform, each with the decision that answers it.
+
+// Each test program uses some of the shared parts.
+#[allow(dead_code)]
+mod worlds;
+
+use mustardpath_core::units::TimeSpan;
+use mustardpath_standin::batch::world::BatchWorld;
+
+/// Workers of a rack in the world.
+const RACK: u32 = 4;
+
+/// Hands in an urgent gang that takes whole workers.
+fn submit_urgent_gang(world: &mut BatchWorld, members: u32) {
+    let mut step = worlds::step(members, 4);
+    step.gang = true;
+    step.rack_sensitive = true;
+    world.urgent.insert(worlds::key(9));
+    world.submit(0, worlds::key(9), worlds::job(vec![step]));
+}
+
+fn fill(world: &mut BatchWorld, tasks: u32) {
+    world.trace = Some(Vec::new());
+    world.work.insert(worlds::key(1), (TimeSpan(30_000), false));
+    let mut step = worlds::step(tasks, 1);
+    step.estimate = TimeSpan(30_000);
+    world.submit(0, worlds::key(1), worlds::job(vec![step]));
+    world.advance(TimeSpan(300));
+}
+
+fn lines(world: &BatchWorld, text: &str) -> usize {
+    let trace = world.trace.as_deref().unwrap_or_default();
+    trace.iter().filter(|line| line.contains(text)).count()
+}
+
+/// Guards against urgent gangs that find every worker of each rack touched by work that could
+/// have gone elsewhere, so that running work is stopped for each of them.
+#[test]
+fn work_that_can_wait_leaves_room_for_an_urgent_gang_in_one_rack() {
+    let mut world = worlds::world(1, 3, 4 * RACK);
+    fill(&mut world, 60);
+    submit_urgent_gang(&mut world, 2);
+    world.advance(TimeSpan(300));
+    assert_eq!(lines(&world, "reason=evicted"), 0, "{:#?}", world.trace);
+    assert_eq!(lines(&world, "abc00009.0.0.1/1"), 2, "{:#?}", world.trace);
+    assert!(world.judge.broken.is_empty(), "{:#?}", world.judge.broken);
+}
+
+/// Guards against urgent work that waits for the natural end of other work, and against a gang
+/// that is spread over racks although stopping a few runs makes room in one.
+#[test]
+fn an_urgent_gang_takes_the_place_of_work_that_can_wait() {
+    let mut world = worlds::world(2, 3, 2 * RACK);
+    fill(&mut world, 32);
+    submit_urgent_gang(&mut world, RACK);
+    world.advance(TimeSpan(600));
+    let started = lines(&world, "abc00009.0.0");
+    assert_eq!(started, 2 * RACK as usize, "{:#?}", world.trace);
+    assert!(lines(&world, "reason=evicted") >= 8, "{:#?}", world.trace);
+    assert!(world.judge.broken.is_empty(), "{:#?}", world.judge.broken);
+}
