Serve metrics and a dump, bound the log, answer unknown appends after 1.05 s

Cause: on-call engineers had log lines only, and without a bound. A call waits at most 1.05 s for its append. Found on the way: with the log of the product's own daemon on standard output, tests/operations waited for ever; it stays on standard error there.

--- a/.ci/imports.py
+++ b/.ci/imports.py
@@ -5,7 +5,7 @@
 import subprocess
 import sys
 
-OWN = re.compile(r"^(crate|super|self|mustardpath(_core|_standin)?)\b")
+OWN = re.compile(r"^(crate|super|self|mustardpath(_core|_platform|_standin)?)\b")
 USE = re.compile(r"^(pub(\([a-z ]+\))? )?use ([^;]+);?")
 
 
--- /dev/null
+++ b/core/src/batch/dump.rs
@@ -0,0 +1,155 @@
+//! A bounded view of the state, without keys, for the person on call.
+
+use indexmap::IndexMap;
+
+use crate::batch::job::JobPhase;
+use crate::batch::job::QueueName;
+use crate::batch::job::TaskDemand;
+use crate::batch::record::TaskState;
+use crate::batch::state::BatchState;
+use crate::ids::DaemonName;
+use crate::ids::DomainName;
+use crate::ids::TermNumber;
+use crate::ids::WorkerName;
+use crate::units::ClockTime;
+use crate::units::TimeSpan;
+
+/// Most jobs that a dump shows.
+const JOBS_SHOWN: usize = 200;
+
+plain_data! {
+    /// The state of one daemon.
+    pub struct BatchDump {
+        /// The daemon.
+        pub daemon: DaemonName,
+        /// Whether it takes callers.
+        pub ready: bool,
+        /// The newest term.
+        pub term: Option<TermNumber>,
+        /// The daemon that holds it.
+        pub holder: Option<DaemonName>,
+        /// The configuration in force.
+        pub config: u64,
+        /// Age of the last confirmed read of the operators' topic.
+        pub config_age: Option<TimeSpan>,
+        /// Age of the last confirmed read of the batch topic.
+        pub batch_age: Option<TimeSpan>,
+        /// Failure domains out of service.
+        pub domains_out: Vec<DomainName>,
+        /// Records of callers that are not stored yet.
+        pub intake_records: u64,
+        /// Records of the planner that are not stored yet.
+        pub planner_records: u64,
+        /// Jobs by phase.
+        pub phases: IndexMap<String, u64>,
+        /// Jobs that have not ended, the oldest first.
+        pub jobs: Vec<JobDump>,
+        /// Workers, at the daemon that plans.
+        pub workers: IndexMap<WorkerName, WorkerDump>,
+    }
+
+    /// A job that has not ended.
+    pub struct JobDump {
+        /// The id.
+        pub job: String,
+        /// The queue.
+        pub queue: QueueName,
+        /// The phase.
+        pub phase: JobPhase,
+        /// Time since its submission.
+        pub age: TimeSpan,
+        /// Tasks in all.
+        pub tasks: u64,
+        /// Tasks that are done.
+        pub done: u64,
+        /// Tasks that are placed on a worker.
+        pub placed: u64,
+        /// Failed attempts.
+        pub failures: u64,
+    }
+
+    /// A worker.
+    pub struct WorkerDump {
+        /// Whether it can get new tasks.
+        pub usable: bool,
+        /// Whether its entry is in the store.
+        pub listed: bool,
+        /// Time since its last answer.
+        pub heard: Option<TimeSpan>,
+        /// Runs that take room on it.
+        pub runs: u64,
+        /// What is left of it.
+        pub free: TaskDemand,
+    }
+}
+
+/// Returns the state of a daemon.
+#[must_use]
+pub fn dump(state: &BatchState, at: ClockTime) -> BatchDump {
+    let term = state.book.term.as_ref();
+    let age = |confirmed: Option<ClockTime>| confirmed.map(|time| at.since(time));
+    BatchDump {
+        daemon: state.daemon.clone(),
+        ready: state.is_ready(at),
+        term: term.map(|term| term.term),
+        holder: term.and_then(|term| term.holder.clone()),
+        config: state.catalog.version,
+        config_age: age(state.operator_tail.confirmed()),
+        batch_age: age(state.batch_tail.confirmed()),
+        domains_out: state.domains_out.iter().cloned().collect(),
+        intake_records: state.intake_lane.len() as u64,
+        planner_records: state.planner_lane.len() as u64,
+        phases: phases(state),
+        jobs: jobs(state, at),
+        workers: workers(state, at),
+    }
+}
+
+fn phases(state: &BatchState) -> IndexMap<String, u64> {
+    let mut phases = IndexMap::new();
+    for entry in state.book.jobs.values() {
+        let phase = format!("{:?}", entry.shown_phase()).to_lowercase();
+        *phases.entry(phase).or_default() += 1;
+    }
+    phases
+}
+
+fn jobs(state: &BatchState, at: ClockTime) -> Vec<JobDump> {
+    let open = state.book.jobs.iter().filter_map(|(job, entry)| {
+        let definition = entry.open_definition()?;
+        let count = |wanted: fn(&TaskState) -> bool| {
+            let notes = entry.steps.values().flatten();
+            notes.filter(|note| wanted(&note.state)).count() as u64
+        };
+        let steps = definition.draft.steps.iter();
+        let tasks: u64 = steps.map(|step| u64::from(step.count)).sum();
+        let failures = entry.steps.values().flatten();
+        Some(JobDump {
+            job: job.text(),
+            queue: definition.queue.clone(),
+            phase: entry.shown_phase(),
+            age: at.since(definition.accepted_at),
+            tasks: tasks * u64::from(definition.draft.occurrences()),
+            done: count(|state| *state == TaskState::Done),
+            placed: count(|state| matches!(state, TaskState::Placed(_))),
+            failures: failures.map(|note| note.failed.len() as u64).sum(),
+        })
+    });
+    open.take(JOBS_SHOWN).collect()
+}
+
+fn workers(state: &BatchState, at: ClockTime) -> IndexMap<WorkerName, WorkerDump> {
+    let planner = state.planner.as_ref();
+    let lives = planner.into_iter().flat_map(|planner| &planner.workers);
+    let views = lives.map(|(worker, life)| {
+        let view = WorkerDump {
+            usable: life.is_usable(at),
+            listed: life.entry.is_some(),
+            heard: life.hold.heard.map(|heard| at.since(heard)),
+            runs: life.runs.len() as u64,
+            free: life.free(),
+        };
+        (worker.clone(), view)
+    });
+    views.collect()
+}
--- a/core/src/batch/ends.rs
+++ b/core/src/batch/ends.rs
@@ -12,6 +12,7 @@
 use crate::batch::state::BatchState;
 use crate::context::StepContext;
 use crate::effect::LogPart;
+use crate::effect::MetricName;
 use crate::ids::WorkerName;
 use crate::units::ClockTime;
 use crate::units::TimeSpan;
@@ -129,7 +130,10 @@
     context.info(LogPart::Gang, line);
     match row.ending {
         RunEnding::Done => planner::complete(state, row.run),
-        RunEnding::Failed => planner::requeue(state, row.run, &row.checkpoint, true),
+        RunEnding::Failed => {
+            context.count(MetricName::RunsFailed, 1);
+            planner::requeue(state, row.run, &row.checkpoint, true);
+        }
         RunEnding::Stopped | RunEnding::Lapsed | RunEnding::Broken | RunEnding::Alone => {
             planner::requeue(state, row.run, &row.checkpoint, false);
         }
--- a/core/src/batch/intake.rs
+++ b/core/src/batch/intake.rs
@@ -33,6 +33,10 @@
 /// Time before the caller's timeout at which an open call is answered.
 const ANSWER_MARGIN: TimeSpan = TimeSpan(150);
 
+/// Longest time that a call waits for its append. Another daemon may well reach the store, and
+/// the caller has time to try it.
+const APPEND_PATIENCE: TimeSpan = TimeSpan(1_200);
+
 /// Longest time that an append may take before new submissions are refused.
 const STORE_PATIENCE: TimeSpan = TimeSpan(500);
 
@@ -285,7 +289,7 @@
     let open = OpenCall {
         job,
         answer: success,
-        deadline: context.at + timeout - ANSWER_MARGIN,
+        deadline: context.at + APPEND_PATIENCE.min(timeout) - ANSWER_MARGIN,
     };
     state.intake.open.insert(caller, open);
     state.intake_lane.push(record, Some(caller));
--- a/core/src/batch/message.rs
+++ b/core/src/batch/message.rs
@@ -1,8 +1,10 @@
 //! Inputs and outputs of the batch subsystem, as closed sets of data.
 
 use crate::batch::catalog::QueueCatalog;
+use crate::batch::dump::BatchDump;
 use crate::batch::job::JobDraft;
 use crate::batch::job::JobPhase;
+use crate::batch::job::QueueName;
 use crate::batch::job::RunKey;
 use crate::batch::job::WorkerEntry;
 use crate::batch::record::BatchRecord;
@@ -290,6 +292,16 @@
 }
 
 plain_data! {
+    /// A part of a job's way, whose length is measured.
+    #[derive(Copy, Hash)]
+    #[serde(rename_all = "snake_case")]
+    pub enum JobStage {
+        /// From the submission to the first start of a task.
+        FirstStart,
+        /// From the submission to the recorded end.
+        Completion,
+    }
+
     /// What can happen to the batch subsystem.
     pub enum BatchInput {
         /// A caller's call.
@@ -320,6 +332,11 @@
             /// What became of it.
             outcome: OrderOutcome,
         },
+        /// Somebody asks for the state of the daemon.
+        Dump {
+            /// The open exchange.
+            caller: CallerId,
+        },
         /// The platform asks whether the daemon takes callers.
         Probe {
             /// The open exchange.
@@ -382,6 +399,22 @@
             /// The answer.
             answer: QueueAnswer,
         },
+        /// Answer with the state of the daemon.
+        Dumped {
+            /// The exchange.
+            caller: CallerId,
+            /// The state.
+            dump: Box<BatchDump>,
+        },
+        /// Add the length of a part of a job's way to its histogram.
+        Observe {
+            /// The part.
+            stage: JobStage,
+            /// The queue.
+            queue: QueueName,
+            /// The length.
+            span: TimeSpan,
+        },
         /// Tell callers to close their connections after the next answer.
         CloseCallers,
         /// Answer the platform's question whether the daemon takes callers.
--- a/core/src/batch/mod.rs
+++ b/core/src/batch/mod.rs
@@ -6,6 +6,7 @@
 
 pub mod book;
 pub mod catalog;
+pub mod dump;
 mod ends;
 pub mod evict;
 pub mod intake;
--- a/core/src/batch/orders.rs
+++ b/core/src/batch/orders.rs
@@ -19,6 +19,7 @@
 use crate::context::StepContext;
 use crate::effect::ControlEffect;
 use crate::effect::LogPart;
+use crate::effect::MetricName;
 use crate::ids::CallId;
 use crate::ids::WorkerName;
 use crate::units::ClockTime;
@@ -341,6 +342,7 @@
                 context.at.since(order.sent)
             );
             context.info(LogPart::Gang, line);
+            context.count(MetricName::RunsStarted, 1);
             return;
         }
         OrderOutcome::Unknown => slot.unclear = true,
@@ -356,6 +358,7 @@
     }
     let line = format!("run={run} worker={worker} outcome=not_started reason={outcome:?}");
     context.warn(LogPart::Gang, line);
+    context.count(MetricName::RunsNotStarted, 1);
     life.avoid_for_a_while(context.at);
     give_up_start(state, worker, run, context);
 }
@@ -535,6 +538,7 @@
     let reason = if slot.evicted { "evicted" } else { "unwanted" };
     let line = format!("run={run} worker={worker} outcome=stopping reason={reason}");
     context.info(LogPart::Gang, line);
+    context.count(MetricName::RunsStopped, 1);
     let kind = OrderKind::Stop(run);
     let order = WorkerOrder::Stop { run };
     send(planner, worker, kind, order, ORDER_TIME, context);
--- a/core/src/batch/planner.rs
+++ b/core/src/batch/planner.rs
@@ -15,6 +15,8 @@
 use crate::batch::life::RunPhase;
 use crate::batch::life::RunSlot;
 use crate::batch::life::WorkerLife;
+use crate::batch::message::BatchEffect;
+use crate::batch::message::JobStage;
 use crate::batch::message::StoreStream;
 use crate::batch::message::StreamChange;
 use crate::batch::message::StreamRecord;
@@ -30,7 +32,9 @@
 use crate::batch::tail::StreamTail;
 use crate::batch::writer::WriteQueue;
 use crate::context::StepContext;
+use crate::effect::ControlEffect;
 use crate::effect::LogPart;
+use crate::effect::MetricName;
 use crate::ids::CallId;
 use crate::ids::TermNumber;
 use crate::ids::WorkerName;
@@ -124,10 +128,9 @@
 
     /// Adds a run that takes room on a worker.
     pub fn add_slot(&mut self, worker: &WorkerName, run: RunKey, slot: RunSlot) {
-        if let Some(life) = self.workers.get_mut(worker) {
-            if life.runs.insert(run, slot).is_none() {
-                *self.live.entry(run.task).or_default() += 1;
-            }
+        let life = self.workers.get_mut(worker);
+        if life.is_some_and(|life| life.runs.insert(run, slot).is_none()) {
+            *self.live.entry(run.task).or_default() += 1;
         }
     }
 
@@ -291,14 +294,13 @@
         return;
     };
     let Some(entry) = entry else {
-        if let Some(life) = planner.workers.get_mut(worker) {
-            if life.entry.take().is_some() {
-                planner.dirty = true;
-                context.info(
-                    LogPart::Lease,
-                    format!("worker={worker} outcome=entry_gone"),
-                );
-            }
+        let life = planner.workers.get_mut(worker);
+        if life.is_some_and(|life| life.entry.take().is_some()) {
+            planner.dirty = true;
+            context.info(
+                LogPart::Lease,
+                format!("worker={worker} outcome=entry_gone"),
+            );
         }
         return;
     };
@@ -373,6 +375,7 @@
         LogPart::Gang,
         format!("run={run} worker={worker} outcome=gone"),
     );
+    context.count(MetricName::RunsLost, 1);
     requeue(state, run, &slot.checkpoint, false);
 }
 
@@ -500,6 +503,12 @@
         context.at.since(definition.accepted_at)
     );
     context.info(LogPart::Plan, line);
+    context.count(MetricName::JobsEnded, 1);
+    context.push(ControlEffect::Batch(BatchEffect::Observe {
+        stage: JobStage::Completion,
+        queue: definition.queue.clone(),
+        span: context.at.since(definition.accepted_at),
+    }));
     state
         .planner_lane
         .push(BatchRecord::phase(job, phase), None);
--- a/core/src/batch/round.rs
+++ b/core/src/batch/round.rs
@@ -12,6 +12,8 @@
 use crate::batch::job::TaskKey;
 use crate::batch::life::RunPhase;
 use crate::batch::life::RunSlot;
+use crate::batch::message::BatchEffect;
+use crate::batch::message::JobStage;
 use crate::batch::placement;
 use crate::batch::placement::RackRule;
 use crate::batch::placement::WorkerRoom;
@@ -25,6 +27,7 @@
 use crate::batch::unit;
 use crate::batch::unit::WaitingUnit;
 use crate::context::StepContext;
+use crate::effect::ControlEffect;
 use crate::effect::LogPart;
 use crate::ids::RackName;
 use crate::ids::WorkerName;
@@ -441,6 +444,11 @@
     context.info(LogPart::Plan, line);
     planner.record(task, next, &mut state.planner_lane);
     if entry.phase.is_none() && planner.begun.insert(job) {
+        context.push(ControlEffect::Batch(BatchEffect::Observe {
+            stage: JobStage::FirstStart,
+            queue: definition.queue.clone(),
+            span: context.at.since(definition.accepted_at),
+        }));
         let record = BatchRecord::phase(job, JobPhase::Running);
         state.planner_lane.push(record, None);
     }
--- a/core/src/batch/step.rs
+++ b/core/src/batch/step.rs
@@ -2,6 +2,7 @@
 
 use crate::batch::book::BookChange;
 use crate::batch::book::JobBook;
+use crate::batch::dump;
 use crate::batch::intake;
 use crate::batch::message::BatchEffect;
 use crate::batch::message::BatchInput;
@@ -58,6 +59,11 @@
                 is_ready,
             }));
         }
+        BatchInput::Dump { caller } => {
+            let dump = Box::new(dump::dump(state, context.at));
+            let caller = *caller;
+            context.push(ControlEffect::Batch(BatchEffect::Dumped { caller, dump }));
+        }
         BatchInput::Read { stream, outcome } => read(state, *stream, outcome, context),
         BatchInput::Written { batch, outcome } => written(state, *batch, *outcome, context),
         BatchInput::Order { call, outcome } => orders::answered(state, *call, outcome, context),
--- a/core/src/effect.rs
+++ b/core/src/effect.rs
@@ -338,6 +338,18 @@
         WorkersLost,
         /// Limits reached.
         LimitsReached,
+        /// Starts of tasks that workers confirmed.
+        RunsStarted,
+        /// Starts that were taken back or not answered.
+        RunsNotStarted,
+        /// Runs that were told to stop.
+        RunsStopped,
+        /// Ends of runs that failed.
+        RunsFailed,
+        /// Runs that went without an end.
+        RunsLost,
+        /// Log lines left out because there were too many of their kind.
+        LinesOmitted,
         /// Jobs waiting (gauge).
         JobsWaiting,
         /// Jobs placed (gauge).
--- a/src/bin/mustardpath-local.rs
+++ b/src/bin/mustardpath-local.rs
@@ -8,6 +8,7 @@
 
 use argh::FromArgs;
 use simplelog::LevelFilter;
+use simplelog::TerminalMode;
 
 use mustardpath::local_run;
 use mustardpath::logs;
@@ -23,7 +24,7 @@
 
 fn main() -> io::Result<ExitCode> {
     let options: LocalOptions = argh::from_env();
-    logs::init(LevelFilter::Info);
+    logs::init(LevelFilter::Info, TerminalMode::Stderr);
     let summary = local_run::run(&options.folder)?;
     println!("{}", serde_json::to_string(&summary)?);
     Ok(if summary.is_clean() {
--- a/src/bin/mustardpathd.rs
+++ b/src/bin/mustardpathd.rs
@@ -7,6 +7,7 @@
 
 use argh::FromArgs;
 use simplelog::LevelFilter;
+use simplelog::TerminalMode;
 
 use mustardpath::daemon::RunningDaemon;
 use mustardpath::entry::daemon::EntryDaemon;
@@ -22,12 +23,25 @@
     /// settings file, JSON with comments
     #[argh(positional)]
     settings: PathBuf,
+
+    /// check the settings, report all mistakes and end
+    #[argh(switch)]
+    check: bool,
 }
 
 fn main() -> io::Result<()> {
     let options: DaemonOptions = argh::from_env();
-    logs::init(LevelFilter::Info);
     let settings = settings_file::read_settings(&options.settings)?;
+    // The users of the platform collect standard output.
+    let stream = match settings.batch {
+        Some(_) => TerminalMode::Stdout,
+        None => TerminalMode::Stderr,
+    };
+    logs::init(LevelFilter::Info, stream);
+    if options.check {
+        println!("{} is valid", options.settings.display());
+        return Ok(());
+    }
     match settings.batch.clone() {
         Some(batch) => run_entry(settings, &batch, options.settings),
         None => run_own(settings),
--- a/src/entry/daemon.rs
+++ b/src/entry/daemon.rs
@@ -9,6 +9,7 @@
 use std::thread::JoinHandle;
 use std::time::Duration;
 
+use crossbeam_channel::Sender;
 use tokio::sync::mpsc;
 use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::sync::mpsc::UnboundedSender;
@@ -20,6 +21,8 @@
 use crate::control::RunClock;
 use crate::entry::client::CallPool;
 use crate::entry::exchange::OpenExchanges;
+use crate::entry::gauges::MetricPage;
+use crate::entry::line_budget::LineBudget;
 use crate::entry::outward;
 use crate::entry::outward::OutwardContext;
 use crate::entry::serve;
@@ -30,6 +33,7 @@
 use mustardpath_core::batch::message::BatchEffect;
 use mustardpath_core::batch::settings::BatchSettings;
 use mustardpath_core::effect::ControlEffect;
+use mustardpath_core::effect::MetricName;
 use mustardpath_core::event::EventInput;
 use mustardpath_core::event::ShutdownLevel;
 use mustardpath_core::settings::DaemonSettings;
@@ -90,6 +94,8 @@
     ) -> io::Result<Self> {
         let callers = TcpListener::bind(settings.caller_address.as_str())?;
         let ready = TcpListener::bind(batch.ready_address.as_str())?;
+        let pages = batch.metrics_address.as_deref().map(TcpListener::bind);
+        let metrics = MetricPage::default();
         let (events, received) = control::event_channel();
         let (effects, outward) = mpsc::unbounded_channel();
         let lines = logs::spawn(settings.daemon.to_string())?;
@@ -97,6 +103,8 @@
             events: events.clone(),
             effects: outward,
             listeners: vec![callers, ready],
+            pages: pages.transpose()?,
+            metrics: metrics.clone(),
             store: settings.log_address.clone(),
         };
         let traffic = thread::Builder::new()
@@ -104,7 +112,14 @@
             .spawn(move || run_traffic(traffic))?;
         let state = DaemonState::new(settings, fastrand::u64(..));
         let clock = RunClock::start_boot();
-        let ports = move |effect| carry_out(effect, &effects, &lines);
+        let mut ports = EntryPorts {
+            clock,
+            effects,
+            lines,
+            metrics,
+            budget: LineBudget::default(),
+        };
+        let ports = move |effect| ports.carry_out(effect);
         let control = control::spawn(state, clock, received, ports)?;
         Ok(Self {
             events,
@@ -131,26 +146,46 @@
     }
 }
 
-/// Hands an effect to the thread that carries it out.
-fn carry_out(
-    effect: ControlEffect,
-    effects: &UnboundedSender<BatchEffect>,
-    lines: &crossbeam_channel::Sender<LogLine>,
-) -> Option<EventInput> {
-    match effect {
-        ControlEffect::Batch(effect) => {
-            // The traffic thread ends after the control thread. The channel is bounded by the
-            // exchanges of callers and by one read, append or order for each open one.
-            let _ = effects.send(effect);
+/// The ways from the control thread to the others.
+struct EntryPorts {
+    clock: RunClock,
+    effects: UnboundedSender<BatchEffect>,
+    lines: Sender<LogLine>,
+    metrics: MetricPage,
+    budget: LineBudget,
+}
+
+impl EntryPorts {
+    /// Hands an effect to the thread that carries it out.
+    fn carry_out(&mut self, effect: ControlEffect) -> Option<EventInput> {
+        match effect {
+            ControlEffect::Batch(effect) => {
+                // The traffic thread ends after the control thread. The channel is bounded by the
+                // exchanges of callers and by one read, append or order for each open one.
+                let _ = self.effects.send(effect);
+            }
+            ControlEffect::Note { part, level, line } => {
+                for (line, count) in self.budget.turn(self.clock.now()) {
+                    self.metrics.count(MetricName::LinesOmitted, count);
+                    self.write(line);
+                }
+                if self.budget.admit(part, level) {
+                    self.write(LogLine { part, level, line });
+                }
+            }
+            ControlEffect::Count { metric, amount } => self.metrics.count(metric, amount),
+            // The product's own log, workers and peers are unused on the platform.
+            _ => {}
         }
-        ControlEffect::Note { part, level, line } => {
-            // A full queue means that nobody reads standard output; no request waits for it.
-            let _ = lines.try_send(LogLine { part, level, line });
+        None
+    }
+
+    /// A full queue means that nobody reads standard output. No request waits for it.
+    fn write(&self, line: LogLine) {
+        if self.lines.try_send(line).is_err() {
+            self.metrics.count(MetricName::LinesOmitted, 1);
         }
-        // The product's own log, workers and peers are unused on the platform.
-        _ => {}
     }
-    None
 }
 
 /// What the traffic thread takes over.
@@ -158,6 +193,8 @@
     events: EventSender,
     effects: UnboundedReceiver<BatchEffect>,
     listeners: Vec<TcpListener>,
+    pages: Option<TcpListener>,
+    metrics: MetricPage,
     store: String,
 }
 
@@ -180,12 +217,16 @@
     let serve = Rc::new(ServeContext {
         events: parts.events.clone(),
         exchanges: OpenExchanges::default(),
+        metrics: parts.metrics,
         closing: Cell::new(false),
         connections: Cell::new(0),
     });
     for listener in parts.listeners {
         tokio::task::spawn_local(serve::serve(Rc::clone(&serve), listener));
     }
+    if let Some(pages) = parts.pages {
+        tokio::task::spawn_local(serve::serve_pages(Rc::clone(&serve), pages));
+    }
     let context = OutwardContext {
         events: parts.events,
         serve,
--- a/src/entry/exchange.rs
+++ b/src/entry/exchange.rs
@@ -6,6 +6,7 @@
 use indexmap::IndexMap;
 use tokio::sync::oneshot;
 
+use mustardpath_core::batch::dump::BatchDump;
 use mustardpath_core::batch::message::QueueAnswer;
 use mustardpath_core::ids::CallerId;
 
@@ -16,6 +17,8 @@
     Queue(QueueAnswer),
     /// Whether the daemon takes callers.
     Readiness(bool),
+    /// The state of the daemon.
+    Dump(Box<BatchDump>),
 }
 
 /// Open calls of callers.
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -6,5 +6,7 @@
 pub mod client;
 pub mod daemon;
 pub mod exchange;
+pub mod gauges;
+pub mod line_budget;
 pub mod outward;
 pub mod serve;
--- a/src/entry/outward.rs
+++ b/src/entry/outward.rs
@@ -46,6 +46,13 @@
                 let answer = ExchangeAnswer::Readiness(is_ready);
                 context.serve.exchanges.answer(caller, answer);
             }
+            BatchEffect::Dumped { caller, dump } => {
+                let answer = ExchangeAnswer::Dump(dump);
+                context.serve.exchanges.answer(caller, answer);
+            }
+            BatchEffect::Observe { stage, queue, span } => {
+                context.serve.metrics.observe(stage, &queue, span);
+            }
             BatchEffect::CloseCallers => context.serve.closing.set(true),
             effect => {
                 task::spawn_local(call(context.clone(), effect));
@@ -117,9 +124,11 @@
             BatchInput::Order { call, outcome }
         }
         // `run` carries these out without a task of their own.
-        BatchEffect::Answer { .. } | BatchEffect::Readiness { .. } | BatchEffect::CloseCallers => {
-            return;
-        }
+        BatchEffect::Answer { .. }
+        | BatchEffect::Readiness { .. }
+        | BatchEffect::Dumped { .. }
+        | BatchEffect::Observe { .. }
+        | BatchEffect::CloseCallers => return,
     };
     // The control thread has ended when the channel is closed.
     let _ = context.events.send(EventInput::Batch(input)).await;
--- a/src/entry/serve.rs
+++ b/src/entry/serve.rs
@@ -24,6 +24,7 @@
 use crate::control::EventSender;
 use crate::entry::exchange::ExchangeAnswer;
 use crate::entry::exchange::OpenExchanges;
+use crate::entry::gauges::MetricPage;
 use mustardpath_core::batch::message::BatchInput;
 use mustardpath_core::batch::message::QueueAnswer;
 use mustardpath_core::event::EventInput;
@@ -38,6 +39,15 @@
 /// Connections that are served at once. Beyond it, new ones wait in the system's queue.
 const CONNECTIONS: usize = 2_000;
 
+/// Path of the page with counters and histograms.
+const METRICS_PATH: &str = "/metrics";
+
+/// Path of the page with the daemon's state.
+const DUMP_PATH: &str = "/dump";
+
+/// Type of the metrics page.
+const TEXT_TYPE: &str = "text/plain; version=0.0.4";
+
 /// Wait after a failed accept, such as one without a free descriptor.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
@@ -48,6 +58,8 @@
     pub events: EventSender,
     /// Open calls.
     pub exchanges: OpenExchanges,
+    /// Counters and histograms.
+    pub metrics: MetricPage,
     /// Whether callers are told to close their connections.
     pub closing: Cell<bool>,
     /// Connections that are served.
@@ -102,7 +114,62 @@
         let answer = answer(context, request).await;
         front::encode(&answer)
     };
-    Ok(response(context, answer))
+    Ok(response(context, answer, JSON_TYPE))
+}
+
+/// Serves the pages of the person on call until its task is dropped.
+///
+/// # Errors
+///
+/// Returns the system's error when the listener cannot be used.
+pub async fn serve_pages(context: Rc<ServeContext>, listener: TcpListener) -> std::io::Result<()> {
+    listener.set_nonblocking(true)?;
+    let listener = tokio::net::TcpListener::from_std(listener)?;
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            time::sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        let context = Rc::clone(&context);
+        task::spawn_local(async move {
+            let service = service_fn(|request| page(&context, request));
+            // Errors of a connection are the reader's; it sees them itself.
+            let _ = http1::Builder::new()
+                .serve_connection(TokioIo::new(stream), service)
+                .await;
+        });
+    }
+}
+
+async fn page(
+    context: &Rc<ServeContext>,
+    request: Request<Incoming>,
+) -> Result<Response<Full<Bytes>>, Infallible> {
+    let (status, content, body) = match request.uri().path() {
+        METRICS_PATH => (200, TEXT_TYPE, context.metrics.text()),
+        DUMP_PATH => (200, JSON_TYPE, dump(context).await),
+        _ => (404, TEXT_TYPE, format!("{METRICS_PATH} or {DUMP_PATH}\n")),
+    };
+    let answer = HttpAnswer {
+        status,
+        retry_after: None,
+        body: body.into_bytes(),
+    };
+    Ok(response(context, answer, content))
+}
+
+async fn dump(context: &Rc<ServeContext>) -> String {
+    let open = OpenCall::new(context);
+    let input = BatchInput::Dump {
+        caller: open.caller,
+    };
+    match open.ask(input).await {
+        Some(ExchangeAnswer::Dump(dump)) => {
+            // The dump is plain data with text keys, which can always be encoded.
+            serde_json::to_string_pretty(&dump).unwrap_or_default()
+        }
+        _ => String::from("{}"),
+    }
 }
 
 async fn ready(context: &Rc<ServeContext>) -> HttpAnswer {
@@ -156,10 +223,10 @@
     }
 }
 
-fn response(context: &ServeContext, answer: HttpAnswer) -> Response<Full<Bytes>> {
+fn response(context: &ServeContext, answer: HttpAnswer, content: &str) -> Response<Full<Bytes>> {
     let mut response = Response::builder()
         .status(answer.status)
-        .header(header::CONTENT_TYPE, JSON_TYPE);
+        .header(header::CONTENT_TYPE, content);
     if let Some(seconds) = answer.retry_after {
         response = response.header(header::RETRY_AFTER, seconds);
     }
--- a/src/logs.rs
+++ b/src/logs.rs
@@ -27,8 +27,9 @@
     pub line: String,
 }
 
-/// Sends log lines to standard output. A second call in one process changes nothing.
-pub fn init(level: LevelFilter) {
+/// Sends log lines to standard output or standard error. A second call in one process changes
+/// nothing.
+pub fn init(level: LevelFilter, stream: TerminalMode) {
     let config = ConfigBuilder::new()
         .add_filter_allow_str("mustardpath")
         .set_target_level(LevelFilter::Off)
@@ -36,7 +37,7 @@
         .set_location_level(LevelFilter::Off)
         .build();
     // Only a second logger in the process is an error here, and the first one stays in use.
-    let _ = TermLogger::init(level, config, TerminalMode::Stdout, ColorChoice::Never);
+    let _ = TermLogger::init(level, config, stream, ColorChoice::Never);
 }
 
 /// Starts the logger thread for one daemon. It ends when all senders are gone.
--- a/standin/src/batch/judge.rs
+++ b/standin/src/batch/judge.rs
@@ -3,6 +3,8 @@
 use indexmap::IndexMap;
 use indexmap::IndexSet;
 
+use crate::batch::worker::BatchWorker;
+use crate::batch::worker::WorkerMood;
 use mustardpath_core::batch::job::JobDraft;
 use mustardpath_core::batch::job::JobKey;
 use mustardpath_core::batch::job::JobPhase;
@@ -12,9 +14,6 @@
 use mustardpath_core::batch::job::TaskKey;
 use mustardpath_core::ids::WorkerName;
 
-use crate::batch::worker::BatchWorker;
-use crate::batch::worker::WorkerMood;
-
 /// What became of a job's submissions.
 #[derive(Clone, Debug, Default)]
 pub struct JudgedJob {
@@ -65,11 +64,11 @@
         self.starts += 1;
         for (other, model) in workers {
             let is_up = model.mood != WorkerMood::Down;
-            if let Some(twin) = model.running.keys().find(|twin| twin.task == run.task) {
-                if is_up {
-                    self.broken
-                        .push(format!("twice: {run} on {worker}, {twin} on {other}"));
-                }
+            let mut runs = model.running.keys();
+            let twin = runs.find(|twin| is_up && twin.task == run.task);
+            if let Some(twin) = twin {
+                self.broken
+                    .push(format!("twice: {run} on {worker}, {twin} on {other}"));
             }
         }
         if self.done.contains(&run.task) {
--- a/standin/src/batch/world.rs
+++ b/standin/src/batch/world.rs
@@ -6,6 +6,12 @@
 use indexmap::IndexMap;
 use indexmap::IndexSet;
 
+use crate::batch::judge::BatchJudge;
+use crate::batch::judge::JudgedJob;
+use crate::batch::store::KeyedStore;
+use crate::batch::worker::BatchWorker;
+use crate::batch::worker::ModelRun;
+use crate::batch::worker::WorkerMood;
 use mustardpath_core::batch::catalog::QueueCatalog;
 use mustardpath_core::batch::catalog::QueueConfig;
 use mustardpath_core::batch::job::JobDraft;
@@ -44,13 +50,6 @@
 use mustardpath_core::units::ClockTime;
 use mustardpath_core::units::TimeSpan;
 
-use crate::batch::judge::BatchJudge;
-use crate::batch::judge::JudgedJob;
-use crate::batch::store::KeyedStore;
-use crate::batch::worker::BatchWorker;
-use crate::batch::worker::ModelRun;
-use crate::batch::worker::WorkerMood;
-
 /// Time at which each run begins.
 const START: ClockTime = ClockTime(1_000_000_000);
 
@@ -566,7 +565,10 @@
     fn carry_out(&mut self, daemon: usize, incarnation: u64, effect: BatchEffect) {
         match effect {
             BatchEffect::Answer { caller, answer } => self.answered(daemon, caller, &answer),
-            BatchEffect::Readiness { .. } | BatchEffect::CloseCallers => {}
+            BatchEffect::Readiness { .. }
+            | BatchEffect::Dumped { .. }
+            | BatchEffect::Observe { .. }
+            | BatchEffect::CloseCallers => {}
             BatchEffect::Order {
                 call,
                 worker,
@@ -684,6 +686,8 @@
             BatchEffect::Order { .. }
             | BatchEffect::Answer { .. }
             | BatchEffect::Readiness { .. }
+            | BatchEffect::Dumped { .. }
+            | BatchEffect::Observe { .. }
             | BatchEffect::CloseCallers => {}
         }
     }
--- a/standin/tests/batch_faults.rs
+++ b/standin/tests/batch_faults.rs
@@ -149,3 +149,15 @@
     assert_eq!(world.phase(worlds::key(2)), Some(JobPhase::Completed));
     check(&world);
 }
+
+/// Guards against callers who are held until their timeout although another daemon could have
+/// taken their job (bench: incident 1c2c, 3.5 of worth held to the end).
+#[test]
+fn a_call_whose_append_is_not_answered_ends_early() {
+    let mut world = worlds::world(6, 3, 8);
+    world.faults.lost_writes = 1_000;
+    world.submit(0, worlds::key(1), worlds::job(vec![worlds::step(1, 1)]));
+    world.advance(TimeSpan(1_300));
+    let job = &world.judge.jobs[0];
+    assert!(job.unclear && job.open == 0, "{job:?}");
+}
--- a/standin/tests/batch_interleavings.rs
+++ b/standin/tests/batch_interleavings.rs
@@ -85,14 +85,14 @@
         15 => world.drain_worker(&worker),
         16 => world.remove_entry(&worker),
         17 => {
-            if let Some(model) = world.workers.get_mut(&worker) {
-                if model.mood != WorkerMood::Down {
-                    model.mood = if rng.bool() {
-                        WorkerMood::FailsAll
-                    } else {
-                        WorkerMood::Unhealthy
-                    };
-                }
+            let mood = if rng.bool() {
+                WorkerMood::FailsAll
+            } else {
+                WorkerMood::Unhealthy
+            };
+            let model = world.workers.get_mut(&worker);
+            if let Some(model) = model.filter(|model| model.mood != WorkerMood::Down) {
+                model.mood = mood;
             }
         }
         _ => {
--- a/tests/cells/scene.rs
+++ b/tests/cells/scene.rs
@@ -79,6 +79,7 @@
             ..TimingSettings::default()
         },
         limits: LimitSettings::default(),
+        batch: None,
     }
 }
 
