--- a/core/src/batch/ends.rs
+++ b/core/src/batch/ends.rs
@@ -7,7 +7,7 @@
 use crate::batch::message::RunEnding;
 use crate::batch::message::RunningRow;
 use crate::batch::message::WorkerLists;
-use crate::batch::planner;
+use crate::batch::outcome;
 use crate::batch::record::WorkerLifeKey;
 use crate::batch::state::BatchState;
 use crate::context::StepContext;
@@ -129,13 +129,13 @@
     );
     context.info(LogPart::Gang, line);
     match row.ending {
-        RunEnding::Done => planner::complete(state, row.run),
+        RunEnding::Done => outcome::complete(state, row.run),
         RunEnding::Failed => {
             context.count(MetricName::RunsFailed, 1);
-            planner::requeue(state, row.run, &row.checkpoint, true);
+            outcome::requeue(state, row.run, &row.checkpoint, true);
         }
         RunEnding::Stopped | RunEnding::Lapsed | RunEnding::Broken | RunEnding::Alone => {
-            planner::requeue(state, row.run, &row.checkpoint, false);
+            outcome::requeue(state, row.run, &row.checkpoint, false);
         }
     }
     await_record(state, key, row);
@@ -182,7 +182,7 @@
     });
     let absent: Vec<RunKey> = absent.map(|(run, _)| *run).collect();
     for run in absent {
-        planner::run_gone(state, worker, run, context);
+        outcome::run_gone(state, worker, run, context);
     }
 }
 
--- a/core/src/batch/mod.rs
+++ b/core/src/batch/mod.rs
@@ -14,6 +14,7 @@
 pub mod life;
 pub mod message;
 pub mod orders;
+mod outcome;
 pub mod placement;
 pub mod planner;
 pub mod record;
--- a/core/src/batch/orders.rs
+++ b/core/src/batch/orders.rs
@@ -10,6 +10,7 @@
 use crate::batch::message::OrderOutcome;
 use crate::batch::message::OrderRefusal;
 use crate::batch::message::WorkerOrder;
+use crate::batch::outcome;
 use crate::batch::planner;
 use crate::batch::planner::OpenOrder;
 use crate::batch::planner::OrderKind;
@@ -79,7 +80,7 @@
     if life.entry.as_ref().is_none_or(is_out) {
         let line = format!("run={run} worker={worker} outcome=withdrawn reason=\"worker left\"");
         context.info(LogPart::Gang, line);
-        planner::run_gone(state, worker, run, context);
+        outcome::run_gone(state, worker, run, context);
         return;
     }
     send_start(state, worker, run, context);
@@ -251,10 +252,10 @@
         if is_other_life {
             life.entry = None;
             life.address = None;
-            planner::end_life(state, &order.worker, "another life answered", context);
+            outcome::end_life(state, &order.worker, "another life answered", context);
         } else if *outcome == OrderOutcome::NoListener {
             // Runs end with the worker's process.
-            planner::end_life(state, &order.worker, "no process listens", context);
+            outcome::end_life(state, &order.worker, "no process listens", context);
         }
         return;
     };
@@ -381,7 +382,7 @@
         planner.dirty = true;
         return;
     }
-    planner::run_gone(state, worker, run, context);
+    outcome::run_gone(state, worker, run, context);
 }
 
 fn stop_answered(
@@ -454,7 +455,7 @@
     let lapsed = planner.workers.iter().filter(|(_, life)| is_lapsed(life));
     let lapsed: Vec<WorkerName> = lapsed.map(|(worker, _)| worker.clone()).collect();
     for worker in lapsed {
-        planner::end_life(state, &worker, "the lease has lapsed", context);
+        outcome::end_life(state, &worker, "the lease has lapsed", context);
     }
     let Some(planner) = &mut state.planner else {
         return;
@@ -492,7 +493,7 @@
         }
     }
     for (worker, run) in withdrawn {
-        planner::run_gone(state, &worker, run, context);
+        outcome::run_gone(state, &worker, run, context);
     }
     for (worker, run) in unwanted {
         send_stop(state, &worker, run, at, context);
--- /dev/null
+++ b/core/src/batch/outcome.rs
@@ -0,0 +1,204 @@
+//! Ends of runs, tasks and jobs, as the planner records them.
+
+use crate::batch::book::JobBook;
+use crate::batch::book::JobEntry;
+use crate::batch::job::JobKey;
+use crate::batch::job::JobPhase;
+use crate::batch::job::RunKey;
+use crate::batch::job::StepDefinition;
+use crate::batch::job::StepKey;
+use crate::batch::job::TaskKey;
+use crate::batch::message::BatchEffect;
+use crate::batch::message::JobStage;
+use crate::batch::record::BatchRecord;
+use crate::batch::record::RecordKey;
+use crate::batch::record::TaskNote;
+use crate::batch::record::TaskState;
+use crate::batch::state::BatchState;
+use crate::context::StepContext;
+use crate::effect::ControlEffect;
+use crate::effect::LogPart;
+use crate::effect::MetricName;
+use crate::ids::WorkerName;
+
+/// Ends a worker's life: nothing that it ran goes on.
+pub fn end_life(
+    state: &mut BatchState,
+    worker: &WorkerName,
+    reason: &str,
+    context: &mut StepContext<'_>,
+) {
+    let Some(planner) = &mut state.planner else {
+        return;
+    };
+    let Some(life) = planner.workers.get_mut(worker) else {
+        return;
+    };
+    life.listed = false;
+    let runs: Vec<RunKey> = life.runs.keys().copied().collect();
+    let line = format!(
+        "worker={worker} outcome=runs_gone runs={} reason={reason:?}",
+        runs.len()
+    );
+    context.warn(LogPart::Lease, line);
+    for run in runs {
+        run_gone(state, worker, run, context);
+    }
+}
+
+/// Lets a task wait again after its run has certainly gone without an end.
+pub fn run_gone(
+    state: &mut BatchState,
+    worker: &WorkerName,
+    run: RunKey,
+    context: &mut StepContext<'_>,
+) {
+    let Some(planner) = &mut state.planner else {
+        return;
+    };
+    let Some(slot) = planner.remove_slot(worker, &run) else {
+        return;
+    };
+    context.info(
+        LogPart::Gang,
+        format!("run={run} worker={worker} outcome=gone"),
+    );
+    context.count(MetricName::RunsLost, 1);
+    requeue(state, run, &slot.checkpoint, false);
+}
+
+/// Records that a run has ended without being done. The other members of its gang must not go on.
+pub fn requeue(state: &mut BatchState, run: RunKey, checkpoint: &str, failed: bool) {
+    let Some((entry, step, tasks)) = tasks_ending_with(&state.book, &run) else {
+        return;
+    };
+    let counts_as_failure = failed && !step.long_running;
+    let Some(planner) = &mut state.planner else {
+        return;
+    };
+    for task in tasks {
+        let note = planner.newest_note(entry, &task);
+        let is_live = planner.live.contains_key(&task);
+        let next_state = match &note.state {
+            _ if note.attempt != run.attempt => None,
+            TaskState::Placed(life) if is_live => Some(TaskState::Leaving(life.clone())),
+            TaskState::Placed(_) => Some(TaskState::Waiting),
+            TaskState::Leaving(_) if !is_live => Some(TaskState::Waiting),
+            TaskState::Leaving(_) | TaskState::Waiting | TaskState::Done => None,
+        };
+        let is_new_failure = counts_as_failure
+            && !note.failed.contains(&run.attempt)
+            && note.state != TaskState::Done;
+        if next_state.is_none() && !is_new_failure {
+            continue;
+        }
+        let mut next = note.clone();
+        if let Some(state) = next_state {
+            next.state = state;
+            if !checkpoint.is_empty() {
+                checkpoint.clone_into(&mut next.checkpoint);
+            }
+        }
+        if is_new_failure {
+            next.failed.push(run.attempt);
+        }
+        planner.record(task, next, &mut state.planner_lane);
+    }
+}
+
+/// Records that a task is done. One end represents all members of a gang.
+pub fn complete(state: &mut BatchState, run: RunKey) {
+    let Some((entry, _, tasks)) = tasks_ending_with(&state.book, &run) else {
+        return;
+    };
+    let Some(planner) = &mut state.planner else {
+        return;
+    };
+    for task in tasks {
+        let note = planner.newest_note(entry, &task);
+        if note.state == TaskState::Done {
+            continue;
+        }
+        let next = TaskNote {
+            state: TaskState::Done,
+            checkpoint: String::new(),
+            ..note
+        };
+        planner.record(task, next, &mut state.planner_lane);
+    }
+}
+
+/// Records the end of a job whose tasks are all done or of which one has failed for good.
+pub fn settle_job(state: &mut BatchState, job: JobKey, context: &mut StepContext<'_>) {
+    let Some(planner) = &mut state.planner else {
+        return;
+    };
+    let Some(entry) = state.book.jobs.get(&job) else {
+        return;
+    };
+    let Some(definition) = entry.open_definition() else {
+        return;
+    };
+    let notes = entry.steps.values().flatten();
+    let has_failed = notes
+        .clone()
+        .any(|note| note.state != TaskState::Done && note.is_used_up(definition.max_attempts));
+    let phase = if has_failed {
+        JobPhase::Failed
+    } else if entry.is_done(job, &definition.draft) {
+        JobPhase::Completed
+    } else {
+        return;
+    };
+    if !planner.phases.insert(job) {
+        return;
+    }
+    let line = format!(
+        "job={} outcome={phase:?} priority={} estimate_ms={} after_ms={}",
+        job.text(),
+        definition.priority,
+        definition.draft.longest_chain(),
+        context.at.since(definition.accepted_at)
+    );
+    context.info(LogPart::Plan, line);
+    context.count(MetricName::JobsEnded, 1);
+    context.push(ControlEffect::Batch(BatchEffect::Observe {
+        stage: JobStage::Completion,
+        queue: definition.queue.clone(),
+        span: context.at.since(definition.accepted_at),
+    }));
+    state
+        .planner_lane
+        .push(BatchRecord::phase(job, phase), None);
+    for ((occurrence, step), notes) in &entry.steps {
+        let step = StepKey {
+            job,
+            occurrence: *occurrence,
+            step: *step,
+        };
+        for index in (0_u32..).take(notes.len()) {
+            let key = RecordKey::Task(TaskKey { step, index });
+            state.planner_lane.push(BatchRecord::remove(key), None);
+        }
+    }
+}
+
+/// Returns the tasks that end with a run: all members of its gang, or its own task alone.
+fn tasks_ending_with<'a>(
+    book: &'a JobBook,
+    run: &RunKey,
+) -> Option<(&'a JobEntry, &'a StepDefinition, Vec<TaskKey>)> {
+    let entry = book.jobs.get(&run.task.step.job)?;
+    let definition = entry.open_definition()?;
+    let step = definition.draft.steps.get(run.task.step.step as usize)?;
+    let member = |index| TaskKey {
+        step: run.task.step,
+        index,
+    };
+    let tasks = if step.gang {
+        (0..step.count).map(member).collect()
+    } else {
+        vec![run.task]
+    };
+    Some((entry, step, tasks))
+}
--- a/core/src/batch/planner.rs
+++ b/core/src/batch/planner.rs
@@ -6,7 +6,6 @@
 use crate::batch::book::JobEntry;
 use crate::batch::job::JobDefinition;
 use crate::batch::job::JobKey;
-use crate::batch::job::JobPhase;
 use crate::batch::job::RunKey;
 use crate::batch::job::StepDefinition;
 use crate::batch::job::StepKey;
@@ -15,15 +14,13 @@
 use crate::batch::life::RunPhase;
 use crate::batch::life::RunSlot;
 use crate::batch::life::WorkerLife;
-use crate::batch::message::BatchEffect;
-use crate::batch::message::JobStage;
 use crate::batch::message::StoreStream;
 use crate::batch::message::StreamChange;
 use crate::batch::message::StreamRecord;
 use crate::batch::message::WorkerOrder;
 use crate::batch::orders;
+use crate::batch::outcome;
 use crate::batch::record::BatchRecord;
-use crate::batch::record::RecordKey;
 use crate::batch::record::TaskNote;
 use crate::batch::record::TaskState;
 use crate::batch::record::WorkerLifeKey;
@@ -32,9 +29,7 @@
 use crate::batch::tail::StreamTail;
 use crate::batch::writer::WriteQueue;
 use crate::context::StepContext;
-use crate::effect::ControlEffect;
 use crate::effect::LogPart;
-use crate::effect::MetricName;
 use crate::ids::CallId;
 use crate::ids::TermNumber;
 use crate::ids::WorkerName;
@@ -213,7 +208,7 @@
     );
     context.info(LogPart::Plan, line);
     for job in jobs {
-        settle_job(state, job, context);
+        outcome::settle_job(state, job, context);
     }
 }
 
@@ -244,7 +239,7 @@
             let worker = life.worker.clone();
             orders::begin(state, &worker, run, context);
         }
-        Some(_) => settle_job(state, task.step.job, context),
+        Some(_) => outcome::settle_job(state, task.step.job, context),
         None => {}
     }
 }
@@ -333,198 +328,6 @@
     life.entry = Some(entry.clone());
 }
 
-/// Ends a worker's life: nothing that it ran goes on.
-pub fn end_life(
-    state: &mut BatchState,
-    worker: &WorkerName,
-    reason: &str,
-    context: &mut StepContext<'_>,
-) {
-    let Some(planner) = &mut state.planner else {
-        return;
-    };
-    let Some(life) = planner.workers.get_mut(worker) else {
-        return;
-    };
-    life.listed = false;
-    let runs: Vec<RunKey> = life.runs.keys().copied().collect();
-    let line = format!(
-        "worker={worker} outcome=runs_gone runs={} reason={reason:?}",
-        runs.len()
-    );
-    context.warn(LogPart::Lease, line);
-    for run in runs {
-        run_gone(state, worker, run, context);
-    }
-}
-
-/// Lets a task wait again after its run has certainly gone without an end.
-pub fn run_gone(
-    state: &mut BatchState,
-    worker: &WorkerName,
-    run: RunKey,
-    context: &mut StepContext<'_>,
-) {
-    let Some(planner) = &mut state.planner else {
-        return;
-    };
-    let Some(slot) = planner.remove_slot(worker, &run) else {
-        return;
-    };
-    context.info(
-        LogPart::Gang,
-        format!("run={run} worker={worker} outcome=gone"),
-    );
-    context.count(MetricName::RunsLost, 1);
-    requeue(state, run, &slot.checkpoint, false);
-}
-
-/// Records that a run has ended without being done. The other members of its gang must not go on.
-pub fn requeue(state: &mut BatchState, run: RunKey, checkpoint: &str, failed: bool) {
-    let Some(entry) = state.book.jobs.get(&run.task.step.job) else {
-        return;
-    };
-    let Some(definition) = entry.open_definition() else {
-        return;
-    };
-    let Some(step) = definition.draft.steps.get(run.task.step.step as usize) else {
-        return;
-    };
-    let counts_as_failure = failed && !step.long_running;
-    let members: Vec<u32> = if step.gang {
-        (0..step.count).collect()
-    } else {
-        vec![run.task.index]
-    };
-    let Some(planner) = &mut state.planner else {
-        return;
-    };
-    for index in members {
-        let task = TaskKey {
-            step: run.task.step,
-            index,
-        };
-        let note = planner.newest_note(entry, &task);
-        let is_live = planner.live.contains_key(&task);
-        let next_state = match &note.state {
-            _ if note.attempt != run.attempt => None,
-            TaskState::Placed(life) if is_live => Some(TaskState::Leaving(life.clone())),
-            TaskState::Placed(_) => Some(TaskState::Waiting),
-            TaskState::Leaving(_) if !is_live => Some(TaskState::Waiting),
-            TaskState::Leaving(_) | TaskState::Waiting | TaskState::Done => None,
-        };
-        let is_new_failure = counts_as_failure
-            && !note.failed.contains(&run.attempt)
-            && note.state != TaskState::Done;
-        if next_state.is_none() && !is_new_failure {
-            continue;
-        }
-        let mut next = note.clone();
-        if let Some(state) = next_state {
-            next.state = state;
-            if !checkpoint.is_empty() {
-                checkpoint.clone_into(&mut next.checkpoint);
-            }
-        }
-        if is_new_failure {
-            next.failed.push(run.attempt);
-        }
-        planner.record(task, next, &mut state.planner_lane);
-    }
-}
-
-/// Records that a task is done. One end represents all members of a gang.
-pub fn complete(state: &mut BatchState, run: RunKey) {
-    let Some(entry) = state.book.jobs.get(&run.task.step.job) else {
-        return;
-    };
-    let Some(definition) = entry.open_definition() else {
-        return;
-    };
-    let Some(step) = definition.draft.steps.get(run.task.step.step as usize) else {
-        return;
-    };
-    let members: Vec<u32> = if step.gang {
-        (0..step.count).collect()
-    } else {
-        vec![run.task.index]
-    };
-    let Some(planner) = &mut state.planner else {
-        return;
-    };
-    for index in members {
-        let task = TaskKey {
-            step: run.task.step,
-            index,
-        };
-        let note = planner.newest_note(entry, &task);
-        if note.state == TaskState::Done {
-            continue;
-        }
-        let next = TaskNote {
-            state: TaskState::Done,
-            checkpoint: String::new(),
-            ..note
-        };
-        planner.record(task, next, &mut state.planner_lane);
-    }
-}
-
-/// Records the end of a job whose tasks are all done or of which one has failed for good.
-fn settle_job(state: &mut BatchState, job: JobKey, context: &mut StepContext<'_>) {
-    let Some(planner) = &mut state.planner else {
-        return;
-    };
-    let Some(entry) = state.book.jobs.get(&job) else {
-        return;
-    };
-    let Some(definition) = entry.open_definition() else {
-        return;
-    };
-    let notes = entry.steps.values().flatten();
-    let has_failed = notes
-        .clone()
-        .any(|note| note.state != TaskState::Done && note.is_used_up(definition.max_attempts));
-    let phase = if has_failed {
-        JobPhase::Failed
-    } else if entry.is_done(job, &definition.draft) {
-        JobPhase::Completed
-    } else {
-        return;
-    };
-    if !planner.phases.insert(job) {
-        return;
-    }
-    let line = format!(
-        "job={} outcome={phase:?} priority={} estimate_ms={} after_ms={}",
-        job.text(),
-        definition.priority,
-        definition.draft.longest_chain(),
-        context.at.since(definition.accepted_at)
-    );
-    context.info(LogPart::Plan, line);
-    context.count(MetricName::JobsEnded, 1);
-    context.push(ControlEffect::Batch(BatchEffect::Observe {
-        stage: JobStage::Completion,
-        queue: definition.queue.clone(),
-        span: context.at.since(definition.accepted_at),
-    }));
-    state
-        .planner_lane
-        .push(BatchRecord::phase(job, phase), None);
-    for ((occurrence, step), notes) in &entry.steps {
-        let step = StepKey {
-            job,
-            occurrence: *occurrence,
-            step: *step,
-        };
-        for index in (0_u32..).take(notes.len()) {
-            let key = RecordKey::Task(TaskKey { step, index });
-            state.planner_lane.push(BatchRecord::remove(key), None);
-        }
-    }
-}
-
 /// Takes a job's phase, acceptance or cancellation that was read back.
 pub fn job_read_back(state: &mut BatchState, job: JobKey) {
     let Some(planner) = &mut state.planner else {
