Give the room of a round its own table

Cause: the decision of a round mixed the order of units with the arithmetic of claimed room, in one function of 70 lines. Change: room.rs has the table and the claims; the round places one unit a call. No effect on behaviour.

--- a/core/src/batch/mod.rs
+++ b/core/src/batch/mod.rs
@@ -18,6 +18,7 @@
 pub mod placement;
 pub mod planner;
 pub mod record;
+pub mod room;
 pub mod round;
 pub mod settings;
 pub mod state;
--- a/core/src/batch/planner.rs
+++ b/core/src/batch/planner.rs
@@ -24,7 +24,7 @@
 use crate::batch::record::TaskNote;
 use crate::batch::record::TaskState;
 use crate::batch::record::WorkerLifeKey;
-use crate::batch::round::RoomClaim;
+use crate::batch::room::RoomClaim;
 use crate::batch::state::BatchState;
 use crate::batch::tail::StreamTail;
 use crate::batch::writer::WriteQueue;
--- a/core/src/batch/round.rs
+++ b/core/src/batch/round.rs
@@ -8,7 +8,6 @@
 use crate::batch::job::JobPhase;
 use crate::batch::job::RunKey;
 use crate::batch::job::StepKey;
-use crate::batch::job::TaskDemand;
 use crate::batch::job::TaskKey;
 use crate::batch::life::RunPhase;
 use crate::batch::life::RunSlot;
@@ -23,6 +22,8 @@
 use crate::batch::record::TaskNote;
 use crate::batch::record::TaskState;
 use crate::batch::record::WorkerLifeKey;
+use crate::batch::room::RoomClaim;
+use crate::batch::room::RoomTable;
 use crate::batch::state::BatchState;
 use crate::batch::unit;
 use crate::batch::unit::WaitingUnit;
@@ -49,15 +50,6 @@
 /// Share of the reclaim bound, in tenths, after which an urgent unit takes any place.
 const ANY_PLACE_TENTHS: u64 = 7;
 
-/// Room on workers that is kept for a unit.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct RoomClaim {
-    /// When the claim was made.
-    pub since: ClockTime,
-    /// The workers, one for each task.
-    pub workers: Vec<WorkerName>,
-}
-
 /// A decision of a round.
 #[derive(Debug, Default)]
 struct RoundPlan {
@@ -115,68 +107,51 @@
         return plan;
     }
     units.sort_by_key(WaitingUnit::rank);
-    let mut free: IndexMap<&WorkerName, TaskDemand> = planner
-        .workers
-        .iter()
-        .map(|(worker, life)| (worker, life.free()))
-        .collect();
+    let mut table = RoomTable::new(planner);
     for (key, claim) in &planner.claims {
-        let step = units.iter().find(|unit| unit.key == *key);
-        let Some(step) = step.map(|unit| unit.step) else {
-            continue;
-        };
-        for worker in &claim.workers {
-            if let Some(room) = free.get_mut(worker) {
-                room.take(&step.room());
-            }
+        if let Some(unit) = units.iter().find(|unit| unit.key == *key) {
+            table.withhold(claim, unit.step);
         }
     }
     for unit in &units {
-        let claim = planner.claims.get(&unit.key);
-        // A unit may use the room that is kept for it.
-        if let Some(claim) = claim {
-            for worker in &claim.workers {
-                if let (Some(room), Some(life)) =
-                    (free.get_mut(worker), planner.workers.get(worker))
-                {
-                    let mut back = *room;
-                    back.add(&unit.step.room());
-                    let whole = life.free();
-                    room.cpu = back.cpu.min(whole.cpu);
-                    room.memory = back.memory.min(whole.memory);
-                    room.gpu = back.gpu.min(whole.gpu);
-                }
-            }
-        }
-        let mut rooms = view(state, planner, unit, &free, at);
-        let before = plan.placements.len();
-        place_unit(state, unit, &mut rooms, at, &mut plan);
-        let is_placed = plan.placements.len() > before;
-        for room in &rooms {
-            free.insert(room.worker, room.free);
-        }
-        if is_placed {
-            continue;
-        }
-        if let Some(claim) = claim {
-            for worker in &claim.workers {
-                if let Some(room) = free.get_mut(worker) {
-                    room.take(&unit.step.room());
-                }
-            }
-        } else if unit.definition.priority == 0 {
-            make_room(planner, unit, &rooms, at, &mut plan);
-        }
+        plan_unit(state, planner, unit, &mut table, at, &mut plan);
     }
     plan
 }
 
+/// Places a unit, or makes room for it if it is urgent.
+fn plan_unit<'a>(
+    state: &'a BatchState,
+    planner: &'a PlannerState,
+    unit: &WaitingUnit<'_>,
+    table: &mut RoomTable<'a>,
+    at: ClockTime,
+    plan: &mut RoundPlan,
+) {
+    let claim = planner.claims.get(&unit.key);
+    if let Some(claim) = claim {
+        table.lend(claim, unit.step);
+    }
+    let mut rooms = view(state, planner, unit, table, at);
+    let before = plan.placements.len();
+    place_unit(state, unit, &mut rooms, at, plan);
+    table.update(&rooms);
+    if plan.placements.len() > before {
+        return;
+    }
+    if let Some(claim) = claim {
+        table.withhold(claim, unit.step);
+    } else if unit.definition.priority == 0 {
+        make_room(planner, unit, &rooms, at, plan);
+    }
+}
+
 /// Returns the workers that may run a unit's tasks.
 fn view<'a>(
     state: &'a BatchState,
     planner: &'a PlannerState,
     unit: &WaitingUnit<'_>,
-    free: &IndexMap<&'a WorkerName, TaskDemand>,
+    table: &RoomTable<'a>,
     at: ClockTime,
 ) -> Vec<WorkerRoom<'a>> {
     let usable = planner.workers.iter().filter_map(|(worker, life)| {
@@ -192,7 +167,7 @@
             worker,
             rack: &entry.rack,
             labels: &entry.labels,
-            free: free.get(worker).copied().unwrap_or_default(),
+            free: table.free(worker),
             capacity: entry.capacity,
             same_step: u32::try_from(of_step.count()).unwrap_or(u32::MAX),
         }
