Count a record once that is read before its append is confirmed

The long poll can bring a record before the answer to its append; the book then applied it a second time with the confirmation, and the planner's count of records on their way fell too early. Ruled out: the worker's lists (not read between the two lines) and a stop.

Change: the book remembers how far the topic was read. Test: a_record_that_is_read_before_its_confirmation_counts_once failed first.

--- a/core/src/batch/book.rs
+++ b/core/src/batch/book.rs
@@ -41,6 +41,8 @@
         /// loaded with the newest of each key, and those whose append was confirmed. Records of
         /// the same keys that are read later and are not newer change nothing.
         known: IndexMap<RecordKey, u64>,
+        /// The offset after the last record that was read.
+        read_to: u64,
     }
 }
 
@@ -128,6 +130,7 @@
 
     /// Applies a record that was read from the topic.
     pub fn apply(&mut self, offset: u64, record: &BatchRecord) -> BookChange {
+        self.read_to = self.read_to.max(offset + 1);
         if let Some(known) = self.known.get(&record.key).copied() {
             if offset >= known {
                 self.known.swap_remove(&record.key);
@@ -139,10 +142,10 @@
         self.change(record)
     }
 
-    /// Applies a record whose append was confirmed, before it is read back.
+    /// Applies a record whose append was confirmed, unless it was read already.
     pub fn apply_confirmed(&mut self, offset: u64, record: &BatchRecord) -> BookChange {
         let known = self.known.get(&record.key).copied();
-        if known.is_some_and(|known| known >= offset) {
+        if offset < self.read_to || known.is_some_and(|known| known >= offset) {
             return BookChange::None;
         }
         self.known.insert(record.key, offset);
