Count a gang once when its stop makes room for urgent work

Cause: the choice of runs to stop priced every member of a gang at the cost of the whole gang, so it stopped several jobs where one gang, which ends as a whole, frees the same room.

Change: stops are compared by what they cost for all tasks that fit by them; stops that turn out not to be needed are taken back. Test: a_gang_is_counted_once_however_many_of_its_members_make_room failed first.

--- a/core/src/batch/evict.rs
+++ b/core/src/batch/evict.rs
@@ -4,10 +4,14 @@
 
 use crate::batch::job::RunKey;
 use crate::batch::job::StepDefinition;
+use crate::batch::job::StepKey;
 use crate::batch::job::TaskDemand;
 use crate::batch::placement::WorkerRoom;
 use crate::ids::RackName;
 
+/// Keeps the order of costs for each task that fits when they are compared as whole numbers.
+const SCALE: u64 = 1_000;
+
 /// A run that may be stopped.
 #[derive(Clone, Debug)]
 pub struct EvictionCandidate {
@@ -17,6 +21,8 @@
     pub run: RunKey,
     /// What it takes.
     pub demand: TaskDemand,
+    /// Whether it belongs to a gang, which ends as a whole.
+    pub gang: bool,
     /// What its stop costs, in core-seconds that are lost.
     pub cost: u64,
 }
@@ -32,7 +38,13 @@
     pub cost: u64,
 }
 
-/// Finds places for `count` tasks of a step at the lowest cost.
+/// Runs that end together: all members of a gang, or one run.
+struct EvictionVictim<'a> {
+    cost: u64,
+    members: Vec<&'a EvictionCandidate>,
+}
+
+/// Finds places for `count` tasks of a step at a low cost.
 ///
 /// Tasks that want one rack get one if any rack could hold them all.
 #[must_use]
@@ -42,14 +54,7 @@
     step: &StepDefinition,
     count: u64,
 ) -> Option<EvictionPlan> {
-    let mut by_place: Vec<Vec<&EvictionCandidate>> = vec![Vec::new(); rooms.len()];
-    for candidate in candidates {
-        by_place[candidate.place].push(candidate);
-    }
-    for list in &mut by_place {
-        list.sort_by_key(|candidate| candidate.cost);
-    }
-    let all: Vec<usize> = (0..rooms.len()).collect();
+    let victims = victims(candidates);
     let wants_rack = step.affinity.is_some() || (step.gang && step.rack_sensitive);
     let mut best: Option<EvictionPlan> = None;
     if wants_rack {
@@ -57,14 +62,29 @@
             if step.affinity.as_ref().is_some_and(|wished| wished != rack) {
                 continue;
             }
-            let plan = fill(rooms, &by_place, step, &places, count);
+            let plan = fill(rooms, &victims, step, &places, count);
             best = match (best, plan) {
                 (Some(best), Some(plan)) if plan.cost >= best.cost => Some(best),
                 (best, plan) => plan.or(best),
             };
         }
     }
-    best.or_else(|| fill(rooms, &by_place, step, &all, count))
+    let all: Vec<usize> = (0..rooms.len()).collect();
+    best.or_else(|| fill(rooms, &victims, step, &all, count))
+}
+
+fn victims(candidates: &[EvictionCandidate]) -> Vec<EvictionVictim<'_>> {
+    let mut victims: IndexMap<(StepKey, Option<u32>), EvictionVictim<'_>> = IndexMap::new();
+    for candidate in candidates {
+        let task = candidate.run.task;
+        let key = (task.step, (!candidate.gang).then_some(task.index));
+        let victim = victims.entry(key).or_insert_with(|| EvictionVictim {
+            cost: candidate.cost,
+            members: Vec::new(),
+        });
+        victim.members.push(candidate);
+    }
+    victims.into_values().collect()
 }
 
 fn racks<'a>(rooms: &[WorkerRoom<'a>]) -> IndexMap<&'a RackName, Vec<usize>> {
@@ -75,73 +95,171 @@
     racks
 }
 
-/// What one more task on a worker costs.
-struct NextTask {
-    place: usize,
-    cost: u64,
-    runs: Vec<RunKey>,
-    tasks: u64,
+/// The room that stops make.
+#[derive(Clone)]
+struct FreedRoom<'a, 'v> {
+    rooms: Vec<WorkerRoom<'a>>,
+    places: &'v [usize],
+    step: &'v StepDefinition,
+}
+
+impl FreedRoom<'_, '_> {
+    /// Returns how many tasks fit in the room.
+    fn count(&self) -> u64 {
+        let counts = self.places.iter();
+        counts
+            .map(|&place| self.rooms[place].count(self.step))
+            .sum()
+    }
+
+    fn free(&mut self, victim: &EvictionVictim<'_>) {
+        for member in &victim.members {
+            self.rooms[member.place].free.add(&member.demand);
+        }
+    }
+
+    fn fill_again(&mut self, victim: &EvictionVictim<'_>) {
+        for member in &victim.members {
+            self.rooms[member.place].free.take(&member.demand);
+        }
+    }
+
+    /// Returns the tasks that fit, one place for each of the first `count`.
+    fn places(&self, count: u64) -> Vec<usize> {
+        let places = self.places.iter();
+        let tasks = places.flat_map(|&place| {
+            let fitting = self.rooms[place].count(self.step).min(count);
+            std::iter::repeat_n(place, usize::try_from(fitting).unwrap_or(0))
+        });
+        tasks.take(usize::try_from(count).unwrap_or(0)).collect()
+    }
 }
 
+/// Stops the victims that make the most room for their cost, until all tasks fit.
 fn fill(
     rooms: &[WorkerRoom<'_>],
-    by_place: &[Vec<&EvictionCandidate>],
+    victims: &[EvictionVictim<'_>],
     step: &StepDefinition,
     places: &[usize],
     count: u64,
 ) -> Option<EvictionPlan> {
-    let mut options: Vec<NextTask> = Vec::new();
-    for &place in places {
-        let mut room = rooms[place].clone();
-        let mut tasks = room.count(step);
-        if tasks > 0 {
-            options.push(NextTask {
-                place,
-                cost: 0,
-                runs: Vec::new(),
-                tasks,
-            });
+    let mut room = FreedRoom {
+        rooms: rooms.to_vec(),
+        places,
+        step,
+    };
+    let mut stopped: Vec<usize> = Vec::new();
+    let mut fitting = room.count();
+    while fitting < count {
+        let by_place = victims_by_place(rooms.len(), victims, &stopped);
+        let missing = count - fitting;
+        let options = places
+            .iter()
+            .filter_map(|&place| option(&room, victims, &by_place[place], place, missing));
+        let best = options.min_by_key(|option| option.cost * SCALE / option.tasks)?;
+        for &victim in &best.victims {
+            room.free(&victims[victim]);
         }
-        let mut cost = 0;
-        let mut runs = Vec::new();
-        for candidate in &by_place[place] {
-            room.free.add(&candidate.demand);
-            cost += candidate.cost;
-            runs.push(candidate.run);
-            let fitting = room.count(step);
-            if fitting > tasks {
-                options.push(NextTask {
-                    place,
-                    cost,
-                    runs: std::mem::take(&mut runs),
-                    tasks: fitting - tasks,
-                });
-                tasks = fitting;
-                cost = 0;
+        stopped.extend(best.victims);
+        fitting = room.count();
+    }
+    spare(&mut room, victims, &mut stopped, count);
+    let members = stopped.iter().flat_map(|&victim| &victims[victim].members);
+    Some(EvictionPlan {
+        places: room.places(count),
+        runs: members.map(|member| member.run).collect(),
+        cost: stopped.iter().map(|&victim| victims[victim].cost).sum(),
+    })
+}
+
+/// Takes back stops that turn out not to be needed, the dearest first.
+fn spare(
+    room: &mut FreedRoom<'_, '_>,
+    victims: &[EvictionVictim<'_>],
+    stopped: &mut Vec<usize>,
+    count: u64,
+) {
+    stopped.sort_by_key(|&victim| std::cmp::Reverse(victims[victim].cost));
+    stopped.retain(|&victim| {
+        room.fill_again(&victims[victim]);
+        let is_needed = room.count() < count;
+        if is_needed {
+            room.free(&victims[victim]);
+        }
+        is_needed
+    });
+}
+
+/// Returns the victims with a member on each worker, the cheapest first.
+fn victims_by_place(
+    places: usize,
+    victims: &[EvictionVictim<'_>],
+    stopped: &[usize],
+) -> Vec<Vec<usize>> {
+    let mut by_place: Vec<Vec<usize>> = vec![Vec::new(); places];
+    for (index, victim) in victims.iter().enumerate() {
+        for member in victim.members.iter().filter(|_| !stopped.contains(&index)) {
+            let list = &mut by_place[member.place];
+            if list.last() != Some(&index) {
+                list.push(index);
             }
         }
     }
-    // Options of one worker build on each other, so their order is kept by a stable sort on a
-    // cost that never falls along a worker's list.
-    let mut floor: IndexMap<usize, u64> = IndexMap::new();
-    let mut keyed: Vec<(u64, NextTask)> = Vec::with_capacity(options.len());
-    for option in options {
-        let least = floor.entry(option.place).or_default();
-        *least = (*least).max(option.cost / option.tasks.max(1));
-        keyed.push((*least, option));
+    for list in &mut by_place {
+        list.sort_by_key(|&index| victims[index].cost);
     }
-    keyed.sort_by_key(|(key, _)| *key);
-    let mut plan = EvictionPlan::default();
-    for (_, option) in keyed {
-        let missing = count - plan.places.len() as u64;
-        if missing == 0 {
-            break;
+    by_place
+}
+
+/// Victims that make room for at least one more task.
+struct EvictionOption {
+    victims: Vec<usize>,
+    cost: u64,
+    tasks: u64,
+}
+
+/// Returns what it takes to fit one more task on a worker, and how many more fit by it anywhere.
+fn option(
+    room: &FreedRoom<'_, '_>,
+    victims: &[EvictionVictim<'_>],
+    candidates: &[usize],
+    place: usize,
+    missing: u64,
+) -> Option<EvictionOption> {
+    let before = room.rooms[place].count(room.step);
+    let mut worker = room.rooms[place].clone();
+    let mut chosen = Vec::new();
+    for &index in candidates {
+        let members = victims[index].members.iter();
+        for member in members.filter(|member| member.place == place) {
+            worker.free.add(&member.demand);
         }
-        for _ in 0..option.tasks.min(missing) {
-            plan.places.push(option.place);
+        chosen.push(index);
+        if worker.count(room.step) > before {
+            let cost = chosen.iter().map(|&index| victims[index].cost).sum();
+            let tasks = gain(room, victims, &chosen).min(missing).max(1);
+            return Some(EvictionOption {
+                victims: chosen,
+                cost,
+                tasks,
+            });
         }
-        plan.runs.extend(option.runs);
-        plan.cost += option.cost;
     }
-    (plan.places.len() as u64 == count).then_some(plan)
+    None
+}
+
+/// Returns how many more tasks fit after a stop of the victims.
+fn gain(room: &FreedRoom<'_, '_>, victims: &[EvictionVictim<'_>], chosen: &[usize]) -> u64 {
+    let mut freed: IndexMap<usize, WorkerRoom<'_>> = IndexMap::new();
+    for member in chosen.iter().flat_map(|&index| &victims[index].members) {
+        let worker = freed
+            .entry(member.place)
+            .or_insert_with(|| room.rooms[member.place].clone());
+        worker.free.add(&member.demand);
+    }
+    let here = freed
+        .iter()
+        .filter(|(place, _)| room.places.contains(place));
+    here.map(|(place, worker)| worker.count(room.step) - room.rooms[*place].count(room.step))
+        .sum()
 }
--- a/core/src/batch/round.rs
+++ b/core/src/batch/round.rs
@@ -296,6 +296,7 @@
                     place,
                     run: *run,
                     demand: slot.demand,
+                    gang: slot.gang,
                     cost: gangs
                         .get(&run.task.step)
                         .copied()
--- /dev/null
+++ b/core/tests/batch_evict.rs
@@ -0,0 +1,91 @@
+//! Choosing the runs that make room for urgent work.
+
+use mustardpath_core::batch::evict;
+use mustardpath_core::batch::evict::EvictionCandidate;
+use mustardpath_core::batch::job::JobKey;
+use mustardpath_core::batch::job::RunKey;
+use mustardpath_core::batch::job::StepDefinition;
+use mustardpath_core::batch::job::StepKey;
+use mustardpath_core::batch::job::TaskDemand;
+use mustardpath_core::batch::job::TaskKey;
+use mustardpath_core::batch::placement::WorkerRoom;
+use mustardpath_core::ids::RackName;
+use mustardpath_core::ids::WorkerName;
+
+/// What a whole worker has.
+const WHOLE: TaskDemand = TaskDemand {
+    cpu: 8_000,
+    memory: 8_000,
+    gpu: 4,
+};
+
+/// Returns a full worker.
+fn room<'a>(worker: &'a WorkerName, rack: &'a RackName) -> WorkerRoom<'a> {
+    WorkerRoom {
+        worker,
+        rack,
+        labels: &[],
+        free: TaskDemand::default(),
+        capacity: WHOLE,
+        same_step: 0,
+    }
+}
+
+/// Returns a run that takes a whole worker.
+fn candidate(place: usize, job: u64, index: u32, gang: bool, cost: u64) -> EvictionCandidate {
+    let step = StepKey {
+        job: JobKey(job),
+        occurrence: 0,
+        step: 0,
+    };
+    let task = TaskKey { step, index };
+    EvictionCandidate {
+        place,
+        run: RunKey { task, attempt: 1 },
+        demand: WHOLE,
+        gang,
+        cost,
+    }
+}
+
+/// Guards against a stop of two jobs where the stop of one gang, which ends as a whole, makes the
+/// same room at a lower cost.
+#[test]
+fn a_gang_is_counted_once_however_many_of_its_members_make_room() {
+    let workers: Vec<WorkerName> = (0..4).map(|at| format!("w{at}").as_str().into()).collect();
+    let rack = RackName::from("r0");
+    let rooms: Vec<WorkerRoom<'_>> = workers.iter().map(|worker| room(worker, &rack)).collect();
+    let candidates = [
+        candidate(0, 1, 0, true, 100),
+        candidate(1, 1, 1, true, 100),
+        candidate(2, 2, 0, false, 60),
+        candidate(3, 3, 0, false, 60),
+    ];
+    let step = StepDefinition {
+        count: 2,
+        demand: WHOLE,
+        gang: true,
+        ..StepDefinition::default()
+    };
+    let plan = evict::choose(&rooms, &candidates, &step, 2);
+    let plan = plan.unwrap_or_default();
+    assert_eq!(plan.cost, 100, "{plan:?}");
+    assert_eq!(plan.places, [0, 1], "{plan:?}");
+}
+
+/// Guards against stops on workers that have room for some of the tasks already.
+#[test]
+fn room_that_is_free_is_used_before_any_run_is_stopped() {
+    let workers: Vec<WorkerName> = (0..2).map(|at| format!("w{at}").as_str().into()).collect();
+    let rack = RackName::from("r0");
+    let mut rooms: Vec<WorkerRoom<'_>> = workers.iter().map(|worker| room(worker, &rack)).collect();
+    rooms[1].free = WHOLE;
+    let candidates = [candidate(0, 2, 0, false, 5)];
+    let step = StepDefinition {
+        count: 2,
+        demand: WHOLE,
+        ..StepDefinition::default()
+    };
+    let plan = evict::choose(&rooms, &candidates, &step, 1).unwrap_or_default();
+    assert_eq!((plan.cost, plan.places), (0, vec![1]));
+}
