Let work take any place after 1.5 s while most workers stand idle

Change: a unit that has waited 1.5 s takes any place while at least half of every resource is free. Test: work_goes_to_another_rack_while_most_workers_stand_idle failed first.

--- a/core/src/batch/placement.rs
+++ b/core/src/batch/placement.rs
@@ -108,6 +108,18 @@
     fill(rooms, step, &all, count)
 }
 
+/// Tells whether at least half of every resource of the workers is free.
+#[must_use]
+pub fn is_mostly_free(rooms: &[WorkerRoom<'_>]) -> bool {
+    let mut free = TaskDemand::default();
+    let mut whole = TaskDemand::default();
+    for room in rooms {
+        free.add(&room.free);
+        whole.add(&room.capacity);
+    }
+    free.cpu * 2 >= whole.cpu && free.memory * 2 >= whole.memory && free.gpu * 2 >= whole.gpu
+}
+
 /// Tells whether a step could run at full speed on workers of these capacities.
 #[must_use]
 pub fn can_be_near(rooms: &[WorkerRoom<'_>], step: &StepDefinition) -> bool {
--- a/core/src/batch/round.rs
+++ b/core/src/batch/round.rs
@@ -44,6 +44,9 @@
 /// Workers of each rack that are left to urgent work while other work can still wait.
 const RESERVED_WORKERS: usize = 2;
 
+/// Time for which a unit may wait for a better place while most of the room is free.
+const IDLE_PATIENCE: TimeSpan = TimeSpan(1_500);
+
 /// A GPU counts as this many cores in the cost of lost work.
 const GPU_CORES: u64 = 8;
 
@@ -173,7 +176,7 @@
         }
     });
     let mut rooms: Vec<WorkerRoom<'a>> = room.collect();
-    if unit.definition.priority > 0 && at < unit.latest_start() {
+    if unit.definition.priority > 0 && can_wait(unit, &rooms, at) {
         let rest = without_reserve(&rooms);
         if placement::can_be_near(&rest, unit.step) {
             rooms = rest;
@@ -211,14 +214,20 @@
     let urgent_bound = TimeSpan(state.settings.reclaim.0 * ANY_PLACE_TENTHS / 10);
     let known_since = unit.ready_at.max(planner_since(state));
     let is_urgent = unit.definition.priority == 0 && at.since(known_since) >= urgent_bound;
-    let is_late = at >= unit.latest_start();
-    if is_urgent || is_late || !placement::can_be_near(rooms, unit.step) {
+    if is_urgent || !can_wait(unit, rooms, at) || !placement::can_be_near(rooms, unit.step) {
         RackRule::Any
     } else {
         RackRule::Strict
     }
 }
 
+/// Tells whether a unit may wait for a better place. It may not when its objective is at stake, nor
+/// for long while most of the room stands idle.
+fn can_wait(unit: &WaitingUnit<'_>, rooms: &[WorkerRoom<'_>], at: ClockTime) -> bool {
+    let has_waited = at.since(unit.ready_at) >= IDLE_PATIENCE;
+    at < unit.latest_start() && !(has_waited && placement::is_mostly_free(rooms))
+}
+
 /// Returns when the present planner's term began.
 fn planner_since(state: &BatchState) -> ClockTime {
     let planner = state.planner.as_ref();
--- a/standin/tests/batch_load.rs
+++ b/standin/tests/batch_load.rs
@@ -59,3 +59,24 @@
     assert!(lines(&world, "reason=evicted") >= 8, "{:#?}", world.trace);
     assert!(world.judge.broken.is_empty(), "{:#?}", world.judge.broken);
 }
+
+/// Guards against work that waits for its rack while most workers stand idle, because its declared
+/// run time leaves it much time.
+#[test]
+fn work_goes_to_another_rack_while_most_workers_stand_idle() {
+    let mut world = worlds::world(5, 3, 4 * RACK);
+    world.trace = Some(Vec::new());
+    for number in [1, 2] {
+        world
+            .work
+            .insert(worlds::key(number), (TimeSpan(60_000), false));
+        let mut step = worlds::step(8, 2);
+        step.estimate = TimeSpan(60_000);
+        step.affinity = Some("r0".into());
+        world.submit(0, worlds::key(number), worlds::job(vec![step]));
+    }
+    world.advance(TimeSpan(3_000));
+    let placed = lines(&world, "abc00002.0.0");
+    assert!(placed > 0, "{:#?}", world.trace);
+    assert!(world.judge.broken.is_empty(), "{:#?}", world.judge.broken);
+}
