Search a log of the stand-ins for the cause of a request

Cause: the recipe of docs/OPERATIONS.md (from a request to its cause) was shown by hand only; a renamed field or a dropped line would break it unseen. Change: a test runs the search for a refused submission, a late job and a failed job on logs of the stand-ins.

--- /dev/null
+++ b/standin/tests/batch_log.rs
@@ -0,0 +1,95 @@
+//! The search of `docs/OPERATIONS.md`, "From a request to its cause", on logs of the stand-ins.
+
+// Each test program uses some of the shared parts.
+#[allow(dead_code)]
+mod worlds;
+
+use mustardpath_core::batch::job::JobKey;
+use mustardpath_core::batch::job::JobPhase;
+use mustardpath_core::units::TimeSpan;
+use mustardpath_standin::batch::world::BatchWorld;
+use mustardpath_standin::batch::world::MAX_ATTEMPTS;
+
+/// Returns the lines that name a job, which is what the first command of the recipe prints.
+fn lines_of(world: &BatchWorld, job: JobKey) -> Vec<&str> {
+    let lines = world.trace.as_deref().unwrap_or_default().iter();
+    let id = job.text();
+    lines
+        .filter(|line| line.contains(&id))
+        .map(String::as_str)
+        .collect()
+}
+
+/// Returns the number after `name=` in a line.
+fn field(line: &str, name: &str) -> u64 {
+    let value = line.split_once(&format!("{name}=")).map(|(_, rest)| rest);
+    let value = value.and_then(|rest| rest.split(' ').next()?.parse().ok());
+    value.unwrap_or_else(|| panic!("no {name} in {line:?}"))
+}
+
+/// Returns the first line with a text.
+fn line_with<'a>(lines: &[&'a str], text: &str) -> &'a str {
+    let line = lines.iter().find(|line| line.contains(text));
+    line.unwrap_or_else(|| panic!("no {text:?} in {lines:#?}"))
+}
+
+/// Guards against a refused submission whose lines do not lead to the store that was away.
+#[test]
+fn a_rejected_submission_leads_to_the_store() {
+    let mut world = worlds::world(1, 3, 4);
+    world.trace = Some(Vec::new());
+    world.faults.cut_daemons.insert(1);
+    world.advance(TimeSpan(3_500));
+    let job = worlds::key(1);
+    world.submit(1, job, worlds::job(vec![worlds::step(1, 1)]));
+    world.advance(TimeSpan(100));
+    let lines = lines_of(&world, job);
+    let refused = line_with(&lines, "outcome=refused");
+    assert!(refused.contains(" d1 request: "), "{refused}");
+    assert!(refused.contains("kind=NotReady"), "{refused}");
+    let all = world.trace.as_deref().unwrap_or_default();
+    let cause = all
+        .iter()
+        .any(|line| line.contains(" d1 log: ") && line.contains("out of reach"));
+    assert!(cause, "{all:#?}");
+}
+
+/// Guards against a late job whose lines do not lead to the takeover that it waited for.
+#[test]
+fn a_late_job_leads_to_a_takeover() {
+    let mut world = worlds::world(2, 3, 4);
+    world.trace = Some(Vec::new());
+    let planner = world.planner().expect("a planner");
+    world.kill(planner);
+    let job = worlds::key(1);
+    let other = (planner + 1) % world.daemon_count();
+    world.submit(other, job, worlds::job(vec![worlds::step(1, 1)]));
+    world.advance(TimeSpan(6_000));
+    let lines = lines_of(&world, job);
+    let placed = line_with(&lines, "outcome=placed");
+    assert!(field(placed, "waited_ms") > 500, "{placed}");
+    line_with(&lines, "outcome=started");
+    line_with(&lines, "ending=Done");
+    let completed = line_with(&lines, "outcome=Completed");
+    assert!(field(completed, "after_ms") > 1_500, "{completed}");
+    let all = world.trace.as_deref().unwrap_or_default();
+    let takeover = all.iter().find(|line| line.contains("outcome=adopting"));
+    let takeover = takeover.unwrap_or_else(|| panic!("no takeover in {all:#?}"));
+    assert!(field(takeover, "term") > 1, "{takeover}");
+}
+
+/// Guards against a failed job whose lines do not name the attempts and workers that failed.
+#[test]
+fn a_failed_job_leads_to_its_attempts() {
+    let mut world = worlds::world(3, 3, 4);
+    world.trace = Some(Vec::new());
+    let job = worlds::key(1);
+    world.work.insert(job, (TimeSpan(300), true));
+    world.submit(0, job, worlds::job(vec![worlds::step(1, 1)]));
+    world.advance(TimeSpan(10_000));
+    assert_eq!(world.phase(job), Some(JobPhase::Failed));
+    let lines = lines_of(&world, job);
+    let failed = lines.iter().filter(|line| line.contains("ending=Failed"));
+    assert_eq!(failed.count(), MAX_ATTEMPTS as usize, "{lines:#?}");
+    line_with(&lines, "outcome=Failed");
+}
