Test that a full standard output delays no call

Cause: the logs are bounded and written by a thread of their own, but no test showed that a reader that stops reading costs no call. Change: a test runs the daemon with a pipe that nobody reads, makes log lines for 6 s until the pipe is full, and checks the time of every call and the count of omitted lines on the metrics page.

--- /dev/null
+++ b/tests/blocked_output.rs
@@ -0,0 +1,132 @@
+//! The daemon on the users' platform while nobody reads its standard output.
+
+use std::env;
+use std::fs;
+use std::io::Read;
+use std::net::TcpListener;
+use std::path::PathBuf;
+use std::process::Child;
+use std::process::Command;
+use std::process::Stdio;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use serde_json::json;
+
+/// Bytes after which a pipe on Linux makes its writer wait: 16 pages, of which the last is not
+/// filled by a line that does not fit.
+const PIPE_BYTES: usize = 15 * 4_096;
+
+/// Time for which calls make log lines.
+const LOAD_TIME: Duration = Duration::from_secs(6);
+
+/// Longest time that a call may take.
+const MOST_WAIT: Duration = Duration::from_secs(1);
+
+/// A daemon whose standard output is a pipe that nobody reads.
+struct BlockedDaemon {
+    child: Child,
+    settings: PathBuf,
+    callers: String,
+    metrics: String,
+}
+
+/// Returns a loopback address whose port was free a moment ago.
+fn free_address() -> String {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a loopback port is free");
+    let address = listener.local_addr().expect("the port is known");
+    address.to_string()
+}
+
+impl BlockedDaemon {
+    fn start() -> Self {
+        let callers = free_address();
+        let metrics = free_address();
+        let settings = json!({
+            "daemon": "d1", "region": "south", "domain": "a",
+            "caller_address": callers, "peer_address": free_address(),
+            "log_address": free_address(), "vms_address": free_address(),
+            "operator_key_sha256": "0".repeat(64),
+            "batch": { "ready_address": free_address(), "metrics_address": metrics },
+        });
+        let name = format!("mustardpath-blocked-{}.json", std::process::id());
+        let file = env::temp_dir().join(name);
+        fs::write(&file, settings.to_string()).expect("the settings are written");
+        let child = Command::new(env!("CARGO_BIN_EXE_mustardpathd"))
+            .arg(&file)
+            .stdout(Stdio::piped())
+            .stderr(Stdio::null())
+            .spawn()
+            .expect("the daemon starts");
+        Self {
+            child,
+            settings: file,
+            callers,
+            metrics,
+        }
+    }
+
+    /// Ends the daemon and returns what it had written before its output was full.
+    fn end(mut self) -> Vec<u8> {
+        self.child.kill().expect("the daemon runs");
+        self.child.wait().expect("the daemon ends");
+        fs::remove_file(&self.settings).expect("the settings are there");
+        let mut written = Vec::new();
+        let mut output = self.child.stdout.take().expect("the output is a pipe");
+        output.read_to_end(&mut written).expect("the pipe is read");
+        written
+    }
+}
+
+/// Returns the answer's status and body, and the time that it took.
+fn call(agent: &ureq::Agent, method: &str, url: &str) -> Option<(u16, String, Duration)> {
+    let begin = Instant::now();
+    let answer = match method {
+        "GET" => agent.get(url).call(),
+        _ => agent
+            .post(url)
+            .send(r#"{"spec":"s","steps":[{"count":1}]}"#),
+    };
+    let mut answer = answer.ok()?;
+    let status = answer.status().as_u16();
+    let body = answer.body_mut().read_to_string().ok()?;
+    Some((status, body, begin.elapsed()))
+}
+
+/// Guards against a daemon that stops answering because its log cannot be written, and against
+/// lines that are left out without a count.
+#[test]
+fn a_full_standard_output_delays_no_call() {
+    let daemon = BlockedDaemon::start();
+    let config = ureq::Agent::config_builder().http_status_as_error(false);
+    let agent = ureq::Agent::new_with_config(config.build());
+    let metrics = format!("http://{}/metrics", daemon.metrics);
+    let is_up = (0..100).any(|_| {
+        thread::sleep(Duration::from_millis(50));
+        call(&agent, "GET", &metrics).is_some()
+    });
+    assert!(is_up, "the metrics address never answered");
+    let begin = Instant::now();
+    let mut slowest = Duration::ZERO;
+    let mut calls = 0_u32;
+    while begin.elapsed() < LOAD_TIME {
+        let url = format!("http://{}/queue/{calls:016x}", daemon.callers);
+        let (status, _, wait) = call(&agent, "POST", &url).expect("each call is answered");
+        assert_eq!(status, 503, "a daemon without a configuration is not ready");
+        slowest = slowest.max(wait);
+        calls += 1;
+        thread::sleep(Duration::from_millis(1));
+    }
+    let (_, page, wait) = call(&agent, "GET", &metrics).expect("the metrics are served");
+    let written = daemon.end();
+    let bytes = written.len();
+    assert!(bytes >= PIPE_BYTES, "{calls} calls wrote {bytes} bytes");
+    assert!(
+        slowest.max(wait) < MOST_WAIT,
+        "slowest {slowest:?}, {wait:?}"
+    );
+    let omitted = page.lines().find(|line| line.contains("lines_omitted"));
+    let omitted = omitted.and_then(|line| line.rsplit(' ').next()?.parse::<u64>().ok());
+    assert!(omitted.is_some_and(|count| count > 0), "{page}");
+}
