Start a task elsewhere after it has failed on a worker

The worker counted as well because runs that had begun earlier were done there. Ruled out: a fault of the jobs (their other tasks were done).

Change: the planner remembers the workers on which runs of a step have failed and leaves them out while other workers could hold the step. Test: a_task_that_failed_on_a_worker_starts_again_elsewhere failed first.

--- a/core/src/batch/ends.rs
+++ b/core/src/batch/ends.rs
@@ -132,6 +132,8 @@
         RunEnding::Done => outcome::complete(state, row.run),
         RunEnding::Failed => {
             context.count(MetricName::RunsFailed, 1);
+            let places = planner.failed_places.entry(row.run.task.step);
+            places.or_default().insert(worker.clone());
             outcome::requeue(state, row.run, &row.checkpoint, true);
         }
         RunEnding::Stopped | RunEnding::Lapsed | RunEnding::Broken | RunEnding::Alone => {
--- a/core/src/batch/placement.rs
+++ b/core/src/batch/placement.rs
@@ -120,6 +120,24 @@
     free.cpu * 2 >= whole.cpu && free.memory * 2 >= whole.memory && free.gpu * 2 >= whole.gpu
 }
 
+/// Tells whether workers of these capacities could hold a gang, or one task of another step.
+#[must_use]
+pub fn can_hold(rooms: &[WorkerRoom<'_>], step: &StepDefinition) -> bool {
+    let needed = if step.gang { u64::from(step.count) } else { 1 };
+    let whole = rooms.iter().map(|room| whole_count(room, step));
+    whole.fold(0_u64, u64::saturating_add) >= needed
+}
+
+/// Returns how many tasks of the step fit on an empty worker.
+fn whole_count(room: &WorkerRoom<'_>, step: &StepDefinition) -> u64 {
+    let empty = WorkerRoom {
+        free: room.capacity,
+        same_step: 0,
+        ..room.clone()
+    };
+    empty.count(step)
+}
+
 /// Tells whether a step could run at full speed on workers of these capacities.
 #[must_use]
 pub fn can_be_near(rooms: &[WorkerRoom<'_>], step: &StepDefinition) -> bool {
@@ -129,14 +147,7 @@
     by_rack(rooms).into_iter().any(|(rack, places)| {
         let is_wished = step.affinity.as_ref().is_none_or(|wished| wished == rack);
         let needed = if step.gang { u64::from(step.count) } else { 1 };
-        let whole = places.iter().map(|&place| {
-            let room = WorkerRoom {
-                free: rooms[place].capacity,
-                same_step: 0,
-                ..rooms[place].clone()
-            };
-            room.count(step)
-        });
+        let whole = places.iter().map(|&place| whole_count(&rooms[place], step));
         is_wished && whole.fold(0_u64, u64::saturating_add) >= needed
     })
 }
--- a/core/src/batch/planner.rs
+++ b/core/src/batch/planner.rs
@@ -95,6 +95,8 @@
     pub begun: IndexSet<JobKey>,
     /// Room that is being made for urgent units.
     pub claims: IndexMap<StepKey, RoomClaim>,
+    /// Workers where runs of a step have failed.
+    pub failed_places: IndexMap<StepKey, IndexSet<WorkerName>>,
     /// Jobs that have work left.
     pub open_jobs: IndexSet<JobKey>,
     /// Whether something has changed since the last round.
@@ -116,6 +118,7 @@
             phases: IndexSet::new(),
             begun: IndexSet::new(),
             claims: IndexMap::new(),
+            failed_places: IndexMap::new(),
             open_jobs: IndexSet::new(),
             dirty: true,
         }
@@ -341,6 +344,7 @@
         planner.open_jobs.swap_remove(&job);
         planner.phases.swap_remove(&job);
         planner.begun.swap_remove(&job);
+        planner.failed_places.retain(|step, _| step.job != job);
     }
 }
 
--- a/core/src/batch/round.rs
+++ b/core/src/batch/round.rs
@@ -176,6 +176,13 @@
         }
     });
     let mut rooms: Vec<WorkerRoom<'a>> = room.collect();
+    if let Some(failed) = planner.failed_places.get(&unit.key) {
+        let others = rooms.iter().filter(|room| !failed.contains(room.worker));
+        let others: Vec<WorkerRoom<'a>> = others.cloned().collect();
+        if placement::can_hold(&others, unit.step) {
+            rooms = others;
+        }
+    }
     if unit.definition.priority > 0 && can_wait(unit, &rooms, at) {
         let rest = without_reserve(&rooms);
         if placement::can_be_near(&rest, unit.step) {
--- a/standin/tests/batch_load.rs
+++ b/standin/tests/batch_load.rs
@@ -4,7 +4,9 @@
 #[allow(dead_code)]
 mod worlds;
 
+use mustardpath_core::batch::job::JobPhase;
 use mustardpath_core::units::TimeSpan;
+use mustardpath_standin::batch::worker::WorkerMood;
 use mustardpath_standin::batch::world::BatchWorld;
 
 /// Workers of a rack in the world.
@@ -80,3 +82,20 @@
     assert!(placed > 0, "{:#?}", world.trace);
     assert!(world.judge.broken.is_empty(), "{:#?}", world.judge.broken);
 }
+
+/// Guards against a job that uses up its attempts on one worker that fails whatever it starts,
+/// while the job's other tasks are done there so that the worker looks well.
+#[test]
+fn a_task_that_failed_on_a_worker_starts_again_elsewhere() {
+    let mut world = worlds::world(6, 3, RACK);
+    world.trace = Some(Vec::new());
+    world.work.insert(worlds::key(1), (TimeSpan(400), false));
+    let bad = world.workers.keys().next().cloned().expect("a worker");
+    world.workers[&bad].mood = WorkerMood::FailsAll;
+    world.submit(0, worlds::key(1), worlds::job(vec![worlds::step(4, 3)]));
+    world.advance(TimeSpan(6_000));
+    let phase = world.phase(worlds::key(1));
+    assert_eq!(phase, Some(JobPhase::Completed), "{:#?}", world.trace);
+    let failed = lines(&world, "ending=Failed");
+    assert_eq!(failed, 1, "{:#?}", world.trace);
+}
