Let late work wait behind work that can still meet its objective

Change: within a priority, a unit that is over 1 s past its latest start waits behind those that are on time, for 11 s at most, so that it is not starved. Test: a_late_job_waits_behind_one_that_is_on_time failed first.

--- a/core/src/batch/round.rs
+++ b/core/src/batch/round.rs
@@ -109,7 +109,7 @@
     if units.is_empty() {
         return plan;
     }
-    units.sort_by_key(WaitingUnit::rank);
+    units.sort_by_key(|unit| unit.rank(at));
     let mut table = RoomTable::new(planner);
     for (key, claim) in &planner.claims {
         if let Some(unit) = units.iter().find(|unit| unit.key == *key) {
--- a/core/src/batch/unit.rs
+++ b/core/src/batch/unit.rs
@@ -11,6 +11,13 @@
 use crate::units::ClockTime;
 use crate::units::TimeSpan;
 
+/// Time after its latest start up to which a unit can still meet its objective, as far as declared
+/// run times can tell.
+const LATE_GRACE: TimeSpan = TimeSpan(1_000);
+
+/// Time after its latest start from which a unit no longer waits behind those that are on time.
+const LATE_LIMIT: TimeSpan = TimeSpan(12_000);
+
 /// Tasks of one step that wait: all of a gang, or any number of single tasks.
 #[derive(Clone, Debug)]
 pub struct WaitingUnit<'a> {
@@ -31,11 +38,14 @@
 }
 
 impl WaitingUnit<'_> {
-    /// Returns the sort key: urgent queues first, then the least time for the work that is left.
+    /// Returns the sort key: urgent queues first, then units that can still meet their objective,
+    /// then the least time for the work that is left. Late units come back to the front after a
+    /// while, so that a steady stream of others cannot starve them.
     #[must_use]
-    pub fn rank(&self) -> (u32, u64) {
-        let latest_start = self.deadline.0.saturating_sub(self.step.estimate.0);
-        (self.definition.priority, latest_start)
+    pub fn rank(&self, at: ClockTime) -> (u32, bool, u64) {
+        let latest_start = self.latest_start();
+        let is_late = at > latest_start + LATE_GRACE && at < latest_start + LATE_LIMIT;
+        (self.definition.priority, is_late, latest_start.0)
     }
 
     /// Returns the last moment at which a start at full speed meets the objective.
--- a/standin/tests/batch_load.rs
+++ b/standin/tests/batch_load.rs
@@ -99,3 +99,22 @@
     let failed = lines(&world, "ending=Failed");
     assert_eq!(failed, 1, "{:#?}", world.trace);
 }
+
+/// Guards against a job that has missed its objective and takes the room of one that can still
+/// meet its own.
+#[test]
+fn a_late_job_waits_behind_one_that_is_on_time() {
+    let mut world = worlds::world(7, 3, 1);
+    world.trace = Some(Vec::new());
+    world.work.insert(worlds::key(1), (TimeSpan(6_000), false));
+    world.submit(0, worlds::key(1), worlds::job(vec![worlds::step(1, 4)]));
+    world.advance(TimeSpan(50));
+    world.submit(0, worlds::key(2), worlds::job(vec![worlds::step(1, 4)]));
+    world.advance(TimeSpan(5_500));
+    world.submit(0, worlds::key(3), worlds::job(vec![worlds::step(1, 4)]));
+    world.advance(TimeSpan(3_000));
+    let on_time = worlds::time_of(&world, "abc00003.0.0.0/1");
+    let late = worlds::time_of(&world, "abc00002.0.0.0/1");
+    assert!(on_time < late, "{:#?}", world.trace);
+    assert!(world.judge.broken.is_empty(), "{:#?}", world.judge.broken);
+}
