--- a/core/src/batch/round.rs
+++ b/core/src/batch/round.rs
@@ -176,13 +176,7 @@
         }
     });
     let mut rooms: Vec<WorkerRoom<'a>> = room.collect();
-    if let Some(failed) = planner.failed_places.get(&unit.key) {
-        let others = rooms.iter().filter(|room| !failed.contains(room.worker));
-        let others: Vec<WorkerRoom<'a>> = others.cloned().collect();
-        if placement::can_hold(&others, unit.step) {
-            rooms = others;
-        }
-    }
+    rooms = without_failures(rooms, planner, unit);
     if unit.definition.priority > 0 && can_wait(unit, &rooms, at) {
         let rest = without_reserve(&rooms);
         if placement::can_be_near(&rest, unit.step) {
@@ -192,6 +186,25 @@
     rooms
 }
 
+/// Returns the view without the workers on which runs of the unit's step have failed, as long as the
+/// others could hold it.
+fn without_failures<'a>(
+    rooms: Vec<WorkerRoom<'a>>,
+    planner: &PlannerState,
+    unit: &WaitingUnit<'_>,
+) -> Vec<WorkerRoom<'a>> {
+    let Some(failed) = planner.failed_places.get(&unit.key) else {
+        return rooms;
+    };
+    let others = rooms.iter().filter(|room| !failed.contains(room.worker));
+    let others: Vec<WorkerRoom<'a>> = others.cloned().collect();
+    if placement::can_hold(&others, unit.step) {
+        others
+    } else {
+        rooms
+    }
+}
+
 /// Returns the view without the emptiest workers of each rack, so that urgent gangs find room in
 /// one rack without stopping other work first.
 fn without_reserve<'a>(rooms: &[WorkerRoom<'a>]) -> Vec<WorkerRoom<'a>> {
