--- a/src/generator.rs
+++ b/src/generator.rs
@@ -1,4 +1,4 @@
-//! Traces from a seed: arrivals of work and disturbances.
+//! Traces from a seed: arrivals of work and disruptions.
 
 use fastrand::Rng;
 
@@ -17,7 +17,7 @@
 
 /// What happens beside the ordinary arrivals.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Disturbance {
+pub enum Disruption {
     /// Nothing.
     None,
     /// Hundreds of small jobs within a few minutes.
@@ -40,7 +40,7 @@
     /// Workers and teams.
     pub deployment: DeploymentKind,
     /// What happens beside the arrivals.
-    pub disturbance: Disturbance,
+    pub disruption: Disruption,
     /// Length of the arrivals.
     pub hours: u64,
     /// Offered accelerator-hours against those of the workers, in percent.
@@ -82,7 +82,7 @@
             .skewed(u64::from(low), u64::from(high))
             .min(u64::from(high));
         let actual = self.skewed(class.minutes.0 * MINUTE_MS, class.minutes.1 * MINUTE_MS);
-        let wrong = self.recipe.disturbance == Disturbance::WrongDeclarations;
+        let wrong = self.recipe.disruption == Disruption::WrongDeclarations;
         let factor = if wrong {
             10_f64.powf(self.rng.f64() * 2.0 - 1.0)
         } else {
@@ -149,12 +149,12 @@
         &self.recipe.deployment.classes()[0]
     }
 
-    fn disturb(&mut self) {
+    fn disrupt(&mut self) {
         let middle = self.recipe.hours * HOUR_MS / 2;
         let domain = self.recipe.deployment.domains()[0].1;
-        match self.recipe.disturbance {
-            Disturbance::None | Disturbance::WrongDeclarations => {}
-            Disturbance::SmallBurst => {
+        match self.recipe.disruption {
+            Disruption::None | Disruption::WrongDeclarations => {}
+            Disruption::SmallBurst => {
                 let classes = self.recipe.deployment.classes();
                 for number in 0..400 {
                     let class = &classes[classes.len() - 1 - number % 2];
@@ -163,7 +163,7 @@
                     self.push(at_ms, TraceInput::Submit(job));
                 }
             }
-            Disturbance::LargeBurst => {
+            Disruption::LargeBurst => {
                 for _ in 0..12 {
                     let class = self.largest_class();
                     let mut job = self.draw_job(class);
@@ -173,9 +173,9 @@
                     self.push(at_ms, TraceInput::Submit(job));
                 }
             }
-            Disturbance::Cancellations => self.cancel_half(middle),
-            Disturbance::DomainOut => self.take_out(middle, domain),
-            Disturbance::FaultyWorkers => self.make_faulty(middle, domain),
+            Disruption::Cancellations => self.cancel_half(middle),
+            Disruption::DomainOut => self.take_out(middle, domain),
+            Disruption::FaultyWorkers => self.make_faulty(middle, domain),
         }
     }
 
@@ -252,7 +252,7 @@
     for class in recipe.deployment.classes() {
         maker.add_arrivals(class);
     }
-    maker.disturb();
+    maker.disrupt();
     maker.trace.events.sort_by_key(|event| event.at_ms);
     maker.trace
 }
--- a/src/replay.rs
+++ b/src/replay.rs
@@ -8,7 +8,7 @@
 use serde_json::Value;
 use serde_json::json;
 
-use crate::generator::Disturbance;
+use crate::generator::Disruption;
 use crate::generator::TraceRecipe;
 use crate::generator::generate;
 use crate::simulation::replay;
@@ -69,7 +69,7 @@
 const fn named(
     name: &'static str,
     deployment: DeploymentKind,
-    disturbance: Disturbance,
+    disruption: Disruption,
     seed: u64,
 ) -> NamedTrace {
     let (hours, load_percent) = match deployment {
@@ -80,7 +80,7 @@
         name,
         recipe: TraceRecipe {
             deployment,
-            disturbance,
+            disruption,
             hours,
             load_percent,
             seed,
@@ -93,74 +93,74 @@
     named(
         "thanh-lam-day",
         DeploymentKind::ThanhLam,
-        Disturbance::None,
+        Disruption::None,
         101,
     ),
     named(
         "thanh-lam-small-burst",
         DeploymentKind::ThanhLam,
-        Disturbance::SmallBurst,
+        Disruption::SmallBurst,
         102,
     ),
     named(
         "thanh-lam-wrong-sizes",
         DeploymentKind::ThanhLam,
-        Disturbance::WrongDeclarations,
+        Disruption::WrongDeclarations,
         103,
     ),
     named(
         "thanh-lam-cancellations",
         DeploymentKind::ThanhLam,
-        Disturbance::Cancellations,
+        Disruption::Cancellations,
         104,
     ),
     named(
         "thanh-lam-domain-out",
         DeploymentKind::ThanhLam,
-        Disturbance::DomainOut,
+        Disruption::DomainOut,
         105,
     ),
     named(
         "thanh-lam-faulty-workers",
         DeploymentKind::ThanhLam,
-        Disturbance::FaultyWorkers,
+        Disruption::FaultyWorkers,
         106,
     ),
     named(
         "cordillera-day",
         DeploymentKind::Cordillera,
-        Disturbance::None,
+        Disruption::None,
         201,
     ),
     named(
         "cordillera-large-burst",
         DeploymentKind::Cordillera,
-        Disturbance::LargeBurst,
+        Disruption::LargeBurst,
         202,
     ),
     named(
         "cordillera-wrong-sizes",
         DeploymentKind::Cordillera,
-        Disturbance::WrongDeclarations,
+        Disruption::WrongDeclarations,
         203,
     ),
     named(
         "cordillera-domain-out",
         DeploymentKind::Cordillera,
-        Disturbance::DomainOut,
+        Disruption::DomainOut,
         204,
     ),
     named(
         "cordillera-faulty-workers",
         DeploymentKind::Cordillera,
-        Disturbance::FaultyWorkers,
+        Disruption::FaultyWorkers,
         205,
     ),
-    named("target-day", DeploymentKind::Target, Disturbance::None, 301),
+    named("target-day", DeploymentKind::Target, Disruption::None, 301),
     named(
         "target-domain-out",
         DeploymentKind::Target,
-        Disturbance::DomainOut,
+        Disruption::DomainOut,
         302,
     ),
 ];
--- a/tests/replay.rs
+++ b/tests/replay.rs
@@ -2,7 +2,7 @@
 
 use std::path::Path;
 
-use mustardpath::generator::Disturbance;
+use mustardpath::generator::Disruption;
 use mustardpath::generator::TraceRecipe;
 use mustardpath::generator::generate;
 use mustardpath::replay;
@@ -11,10 +11,10 @@
 use mustardpath::workload::DeploymentKind;
 use mustardpath_core::policy::PolicyKind;
 
-fn recipe(deployment: DeploymentKind, disturbance: Disturbance) -> TraceRecipe {
+fn recipe(deployment: DeploymentKind, disruption: Disruption) -> TraceRecipe {
     TraceRecipe {
         deployment,
-        disturbance,
+        disruption,
         hours: 2,
         load_percent: 95,
         seed: 7,
@@ -34,7 +34,7 @@
 /// Guards against a trace that is read in part, or in the wrong order.
 #[test]
 fn refuses_damaged_traces() {
-    let trace = generate(recipe(DeploymentKind::ThanhLam, Disturbance::DomainOut));
+    let trace = generate(recipe(DeploymentKind::ThanhLam, Disruption::DomainOut));
     let text = trace.format().expect("a valid trace");
     let read = TraceFile::parse(&text).expect("a valid trace");
     assert_eq!(read.format().expect("a valid trace"), text);
@@ -50,39 +50,39 @@
 
 /// Guards against broken promises and lost jobs.
 #[test]
-fn keeps_promises_in_disturbed_traces() {
-    let disturbances = [
-        Disturbance::SmallBurst,
-        Disturbance::LargeBurst,
-        Disturbance::WrongDeclarations,
-        Disturbance::Cancellations,
-        Disturbance::DomainOut,
-        Disturbance::FaultyWorkers,
+fn keeps_promises_in_disrupted_traces() {
+    let disruptions = [
+        Disruption::SmallBurst,
+        Disruption::LargeBurst,
+        Disruption::WrongDeclarations,
+        Disruption::Cancellations,
+        Disruption::DomainOut,
+        Disruption::FaultyWorkers,
     ];
-    for disturbance in disturbances {
-        let trace = generate(recipe(DeploymentKind::Cordillera, disturbance));
+    for disruption in disruptions {
+        let trace = generate(recipe(DeploymentKind::Cordillera, disruption));
         let measure = simulation::replay(&trace, PolicyKind::Mustardpath);
         assert_eq!(
             measure.broken.len(),
             0,
-            "{disturbance:?}: {:?}",
+            "{disruption:?}: {:?}",
             measure.broken
         );
-        assert_eq!(measure.ends.get("unfinished"), None, "{disturbance:?}");
+        assert_eq!(measure.ends.get("unfinished"), None, "{disruption:?}");
         let jobs = trace
             .events
             .iter()
             .filter(|event| event.is_submit())
             .count();
         let ends: u64 = measure.ends.values().sum();
-        assert_eq!(ends, jobs as u64, "{disturbance:?}");
+        assert_eq!(ends, jobs as u64, "{disruption:?}");
     }
 }
 
 /// Guards against results that change from run to run.
 #[test]
 fn gives_the_same_result_again() {
-    let trace = generate(recipe(DeploymentKind::ThanhLam, Disturbance::DomainOut));
+    let trace = generate(recipe(DeploymentKind::ThanhLam, Disruption::DomainOut));
     let first = simulation::replay(&trace, PolicyKind::Mustardpath);
     let second = simulation::replay(&trace, PolicyKind::Mustardpath);
     assert_eq!(first.to_json(), second.to_json());
@@ -91,7 +91,7 @@
 /// Guards against a check of promises that cannot fail: first fit breaks guarantees.
 #[test]
 fn counts_broken_guarantees_of_a_baseline() {
-    let mut trace = generate(recipe(DeploymentKind::Cordillera, Disturbance::None));
+    let mut trace = generate(recipe(DeploymentKind::Cordillera, Disruption::None));
     for team in &mut trace.teams {
         for spec in team.services.values_mut() {
             spec.preemptible = false;
