--- a/standin/src/batch/world.rs
+++ b/standin/src/batch/world.rs
@@ -1,5 +1,7 @@
 //! Daemons, the store and workers under one clock, with faults between them.
 
+mod delivery;
+mod lifecycle;
 mod service;
 
 use std::collections::BTreeMap;
@@ -24,23 +26,17 @@
 use mustardpath_core::batch::message::BatchEffect;
 use mustardpath_core::batch::message::BatchInput;
 use mustardpath_core::batch::message::CallAction;
-use mustardpath_core::batch::message::OrderOutcome;
 use mustardpath_core::batch::message::QueueAnswer;
 use mustardpath_core::batch::message::QueueCall;
-use mustardpath_core::batch::message::RunEnding;
 use mustardpath_core::batch::message::StoreStream;
 use mustardpath_core::batch::message::StreamChange;
 use mustardpath_core::batch::message::WorkerOrder;
-use mustardpath_core::effect::ControlEffect;
-use mustardpath_core::event::ControlEvent;
 use mustardpath_core::event::EventInput;
-use mustardpath_core::event::ShutdownLevel;
 use mustardpath_core::ids::CallId;
 use mustardpath_core::ids::CallerId;
 use mustardpath_core::ids::TermNumber;
 use mustardpath_core::ids::WorkerName;
 use mustardpath_core::kind::RunStatus;
-use mustardpath_core::reducer;
 use mustardpath_core::settings::DaemonSettings;
 use mustardpath_core::state::DaemonState;
 use mustardpath_core::units::ClockTime;
@@ -65,7 +61,7 @@
 const HOST: &str = "jobs.example";
 const PREFIXES: [&str; 2] = ["/urgent/", "/q/"];
 
-/// What disturbs the calls between daemons, store and workers.
+/// Faults of the calls between daemons, store and workers.
 #[derive(Clone, Debug, Default)]
 pub struct BatchFaults {
     /// Answers of the store that are lost, in thousandths.
@@ -120,7 +116,7 @@
 /// Daemons, the store and workers under one clock.
 #[derive(Debug)]
 pub struct BatchWorld {
-    /// What disturbs the calls.
+    /// Faults that are in force.
     pub faults: BatchFaults,
     /// The store.
     pub store: KeyedStore,
@@ -211,105 +207,6 @@
         planners.max().map(|(_, daemon)| daemon)
     }
 
-    /// Starts a daemon's process, if it is down.
-    pub fn start(&mut self, daemon: usize) {
-        let process = &mut self.daemons[daemon];
-        if process.state.is_some() {
-            return;
-        }
-        process.incarnation += 1;
-        process.frozen = false;
-        process.inbox.clear();
-        let incarnation = process.incarnation;
-        let unique = incarnation * 100 + daemon as u64;
-        process.state = Some(DaemonState::new(process.settings.clone(), unique));
-        self.schedule(TimeSpan(1), WorldEvent::Tick(daemon, incarnation));
-    }
-
-    /// Kills a daemon's process.
-    pub fn kill(&mut self, daemon: usize) {
-        self.daemons[daemon].state = None;
-        let broken = self
-            .calls
-            .iter()
-            .filter(|((of, _), (_, is_submission))| *of == daemon && *is_submission);
-        let broken: Vec<JobKey> = broken.map(|(_, (job, _))| *job).collect();
-        for job in broken {
-            if let Some(judged) = self.judge.jobs.get_mut(&job) {
-                judged.unclear = true;
-                judged.open = judged.open.saturating_sub(1);
-            }
-        }
-        self.calls.retain(|(of, _), _| *of != daemon);
-    }
-
-    /// Stops a daemon's process in time, or lets it go on.
-    pub fn freeze(&mut self, daemon: usize, frozen: bool) {
-        self.daemons[daemon].frozen = frozen;
-        if !frozen {
-            let inputs = std::mem::take(&mut self.daemons[daemon].inbox);
-            let incarnation = self.daemons[daemon].incarnation;
-            for input in inputs {
-                self.apply(daemon, incarnation, input);
-            }
-        }
-    }
-
-    /// Sends SIGTERM to a daemon's process.
-    pub fn terminate(&mut self, daemon: usize) {
-        let incarnation = self.daemons[daemon].incarnation;
-        let level = ShutdownLevel::Drain;
-        self.apply(daemon, incarnation, EventInput::Shutdown { level });
-    }
-
-    /// Ends a worker's life without notice.
-    pub fn crash_worker(&mut self, worker: &WorkerName) {
-        let mut lost = Vec::new();
-        if let Some(model) = self.workers.get_mut(worker) {
-            model.mood = WorkerMood::Down;
-            lost.extend(model.running.drain(..).map(|(run, _)| run));
-            model.ended.clear();
-        }
-        self.holds.retain(|(_, _, of, _)| of != worker);
-        for run in lost {
-            if self.gang_size(&run.task.step).is_some() {
-                self.end_gang(run, RunEnding::Broken);
-            }
-        }
-    }
-
-    /// Begins a new life of a worker under the same name.
-    pub fn revive_worker(&mut self, worker: &WorkerName) {
-        let at = self.at;
-        if let Some(model) = self.workers.get_mut(worker) {
-            let mut entry = model.entry.clone();
-            entry.born = at.0;
-            entry.condition = WorkerCondition::Ready;
-            *model = BatchWorker::new(entry, model.slow, model.max_lease, at);
-        }
-        self.holds.retain(|(_, _, of, _)| of != worker);
-        self.write_entry(worker);
-    }
-
-    /// Announces that a worker leaves.
-    pub fn drain_worker(&mut self, worker: &WorkerName) {
-        if let Some(model) = self.workers.get_mut(worker) {
-            model.entry.condition = WorkerCondition::Draining;
-        }
-        self.write_entry(worker);
-    }
-
-    /// Removes a worker's entry from the store.
-    pub fn remove_entry(&mut self, worker: &WorkerName) {
-        let change = StreamChange::Worker {
-            worker: worker.clone(),
-            entry: None,
-        };
-        self.store
-            .write(StoreStream::Workers, worker.as_str(), change, true);
-        self.wake_reads();
-    }
-
     /// Hands a job in at a daemon.
     pub fn submit(&mut self, daemon: usize, job: JobKey, draft: JobDraft) {
         let judged = self.judge.jobs.entry(job).or_insert_with(|| JudgedJob {
@@ -496,139 +393,4 @@
     fn delay(&mut self) -> TimeSpan {
         TimeSpan(self.rng.u64(1..=DELAY))
     }
-
-    fn happen(&mut self, event: WorldEvent) {
-        match event {
-            WorldEvent::Tick(daemon, incarnation) => {
-                if self.daemons[daemon].incarnation == incarnation {
-                    if !self.daemons[daemon].frozen {
-                        self.apply(daemon, incarnation, EventInput::Tick);
-                    }
-                    self.schedule(TICK, WorldEvent::Tick(daemon, incarnation));
-                }
-            }
-            WorldEvent::Input(daemon, incarnation, input) => {
-                self.apply(daemon, incarnation, *input);
-            }
-            WorldEvent::Store(daemon, incarnation, effect) => {
-                self.at_store(daemon, incarnation, *effect);
-            }
-            WorldEvent::Order(daemon, incarnation, call) => {
-                self.at_worker(daemon, incarnation, *call);
-            }
-            WorldEvent::Worker(worker) => self.check_worker(&worker),
-            WorldEvent::ParkedRead(daemon, incarnation, stream) => {
-                self.end_read(daemon, incarnation, stream);
-            }
-            WorldEvent::ParkedHold(worker, call) => self.end_hold(&worker, call),
-            WorldEvent::Heartbeat(worker) => {
-                self.write_entry(&worker);
-                self.schedule(TimeSpan(1_500), WorldEvent::Heartbeat(worker));
-            }
-        }
-    }
-
-    fn apply(&mut self, daemon: usize, incarnation: u64, input: EventInput) {
-        let process = &mut self.daemons[daemon];
-        if process.incarnation != incarnation {
-            return;
-        }
-        if process.frozen {
-            process.inbox.push(input);
-            return;
-        }
-        let Some(state) = &mut process.state else {
-            return;
-        };
-        let mut effects = Vec::new();
-        let event = ControlEvent { at: self.at, input };
-        reducer::apply(state, &event, &mut effects);
-        for effect in effects {
-            match effect {
-                ControlEffect::Batch(effect) => self.carry_out(daemon, incarnation, effect),
-                ControlEffect::Exit => self.kill(daemon),
-                ControlEffect::Note { line, part, .. } => {
-                    if let Some(trace) = &mut self.trace {
-                        let at = self.at.since(START);
-                        trace.push(format!("{at} d{daemon} {} {line}", part.prefix()));
-                    }
-                }
-                _ => {}
-            }
-        }
-    }
-
-    fn carry_out(&mut self, daemon: usize, incarnation: u64, effect: BatchEffect) {
-        match effect {
-            BatchEffect::Answer { caller, answer } => self.answered(daemon, caller, &answer),
-            BatchEffect::Readiness { .. }
-            | BatchEffect::Dumped { .. }
-            | BatchEffect::Observe { .. }
-            | BatchEffect::CloseCallers => {}
-            BatchEffect::Order {
-                call,
-                worker,
-                term,
-                order,
-                timeout,
-                ..
-            } => self.send_order(daemon, incarnation, call, worker, term, order, timeout),
-            effect => {
-                let delay = self.delay();
-                self.schedule(
-                    delay,
-                    WorldEvent::Store(daemon, incarnation, Box::new(effect)),
-                );
-            }
-        }
-    }
-
-    #[allow(
-        clippy::too_many_arguments,
-        reason = "the parts of one effect are taken apart once"
-    )]
-    fn send_order(
-        &mut self,
-        daemon: usize,
-        incarnation: u64,
-        call: CallId,
-        worker: WorkerName,
-        term: TermNumber,
-        order: WorkerOrder,
-        timeout: TimeSpan,
-    ) {
-        let is_lost = self.rng.u32(0..1_000) < self.faults.late_orders;
-        let is_cut = self.faults.cut_workers.contains(&worker);
-        let born = self.workers.get(&worker).map(|model| model.entry.born);
-        let mut order = OrderCall {
-            call,
-            worker,
-            term,
-            order,
-            answers: true,
-            born,
-        };
-        let mut delay = self.delay();
-        // An answer that comes earlier makes this one meaningless.
-        let input = BatchInput::Order {
-            call,
-            outcome: OrderOutcome::Unknown,
-        };
-        let input = Box::new(EventInput::Batch(input));
-        self.schedule(timeout, WorldEvent::Input(daemon, incarnation, input));
-        if is_lost || is_cut {
-            order.answers = false;
-            delay = TimeSpan(self.rng.u64(2_000..12_000));
-        }
-        if !is_cut {
-            let event = WorldEvent::Order(daemon, incarnation, Box::new(order));
-            self.schedule(delay, event);
-        }
-    }
-
-    fn reply(&mut self, daemon: usize, incarnation: u64, input: BatchInput) {
-        let delay = self.delay();
-        let input = Box::new(EventInput::Batch(input));
-        self.schedule(delay, WorldEvent::Input(daemon, incarnation, input));
-    }
 }
