--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -14,10 +14,28 @@
 use std::sync::mpsc::Sender;
 use std::thread::JoinHandle;
 
+use mustardpath_core::config::KeyDigest;
+use mustardpath_core::settings::DaemonSettings;
 use rouille::Request;
 use rouille::Response;
 use rouille::Server;
 
+/// Returns the settings of a daemon that reaches neither a log nor a VM list.
+pub fn settings(call_threads: u32) -> DaemonSettings {
+    serde_json::from_value(serde_json::json!({
+        "daemon": "d1",
+        "region": "north",
+        "domain": "one",
+        "caller_address": "127.0.0.1:0",
+        "peer_address": "127.0.0.1:0",
+        "log_address": "127.0.0.1:1",
+        "vms_address": "127.0.0.1:1",
+        "operator_key_sha256": KeyDigest::of("key"),
+        "limits": { "call_threads": call_threads },
+    }))
+    .expect("settings")
+}
+
 /// One request as the stand-in received it.
 #[derive(Clone, Debug)]
 pub struct SeenRequest {
--- a/tests/endpoint_answers.rs
+++ b/tests/endpoint_answers.rs
@@ -1,5 +1,7 @@
 //! What the daemon makes of the answers of endpoints, good and bad.
 
+mod common;
+
 use std::io::Read;
 use std::net::TcpListener;
 use std::sync::Arc;
@@ -18,33 +20,16 @@
 use mustardpath::outbound;
 use mustardpath::outbound::EndpointJob;
 use mustardpath::outbound::OutboundContext;
-use mustardpath_core::config::KeyDigest;
 use mustardpath_core::effect::CallerAnswer;
 use mustardpath_core::event::EndpointOutcome;
 use mustardpath_core::event::EventInput;
 use mustardpath_core::ids::RequestId;
 use mustardpath_core::ids::ServiceName;
 use mustardpath_core::ids::WriterId;
-use mustardpath_core::settings::DaemonSettings;
 use mustardpath_core::units::TimeSpan;
 
 const BODY: &[u8] = b"the answer";
 
-fn settings() -> DaemonSettings {
-    serde_json::from_value(serde_json::json!({
-        "daemon": "d1",
-        "region": "north",
-        "domain": "one",
-        "caller_address": "127.0.0.1:0",
-        "peer_address": "127.0.0.1:0",
-        "log_address": "127.0.0.1:1",
-        "vms_address": "127.0.0.1:1",
-        "operator_key_sha256": KeyDigest::of("key"),
-        "limits": { "call_threads": 2 },
-    }))
-    .expect("settings")
-}
-
 /// Sends one request to `address` and returns what the daemon makes of the answer, with the body
 /// that its caller would get.
 fn outcome_at(address: String) -> (EndpointOutcome, Option<Vec<u8>>) {
@@ -57,7 +42,7 @@
             daemon: "d1".into(),
             incarnation: 7,
         },
-        settings: Arc::new(settings()),
+        settings: Arc::new(common::settings(2)),
     })
     .expect("threads");
     let body = RequestBody {
--- a/tests/worker_calls.rs
+++ b/tests/worker_calls.rs
@@ -1,5 +1,7 @@
 //! Calls to workers over connections that fail.
 
+mod common;
+
 use std::io::Read;
 use std::io::Write;
 use std::net::TcpListener;
@@ -15,7 +17,6 @@
 use mustardpath::outbound;
 use mustardpath::outbound::CallJob;
 use mustardpath::outbound::OutboundContext;
-use mustardpath_core::config::KeyDigest;
 use mustardpath_core::event::CallOutcome;
 use mustardpath_core::event::EventInput;
 use mustardpath_core::ids::CallId;
@@ -23,7 +24,6 @@
 use mustardpath_core::ids::TaskId;
 use mustardpath_core::ids::TermNumber;
 use mustardpath_core::ids::WriterId;
-use mustardpath_core::settings::DaemonSettings;
 use mustardpath_core::units::TimeSpan;
 use mustardpath_core::worker::WorkerCommand;
 use mustardpath_core::worker::WorkerReply;
@@ -37,18 +37,7 @@
 
 impl TestCaller {
     fn start(address: String) -> Self {
-        let settings: DaemonSettings = serde_json::from_value(serde_json::json!({
-            "daemon": "d1",
-            "region": "north",
-            "domain": "one",
-            "caller_address": "127.0.0.1:0",
-            "peer_address": "127.0.0.1:0",
-            "log_address": "127.0.0.1:1",
-            "vms_address": "127.0.0.1:1",
-            "operator_key_sha256": KeyDigest::of("key"),
-            "limits": { "call_threads": 1 },
-        }))
-        .expect("settings");
+        let settings = common::settings(1);
         let (sender, events) = control::event_channel();
         let jobs = outbound::spawn_calls(&OutboundContext {
             events: sender,
