--- a/core/src/batch/ends.rs
+++ b/core/src/batch/ends.rs
@@ -25,10 +25,7 @@
     lists: &WorkerLists,
     context: &mut StepContext<'_>,
 ) {
-    let Some(planner) = &mut state.planner else {
-        return;
-    };
-    let Some(life) = planner.workers.get_mut(worker) else {
+    let Some(life) = state.life_mut(worker) else {
         return;
     };
     if let Some(born) = lists.born.filter(|born| *born != life.born) {
--- a/core/src/batch/orders.rs
+++ b/core/src/batch/orders.rs
@@ -322,10 +322,7 @@
     context: &mut StepContext<'_>,
 ) {
     let worker = &order.worker;
-    let Some(planner) = &mut state.planner else {
-        return;
-    };
-    let Some(life) = planner.workers.get_mut(worker) else {
+    let Some(life) = state.life_mut(worker) else {
         return;
     };
     let Some(slot) = life.runs.get_mut(&run) else {
@@ -374,9 +371,9 @@
     let Some(planner) = &mut state.planner else {
         return;
     };
-    let life = planner.workers.get_mut(worker);
-    let slot = life.and_then(|life| life.runs.get_mut(&run));
-    let Some(slot) = slot else { return };
+    let Some(slot) = planner.slot_mut(worker, &run) else {
+        return;
+    };
     if slot.unclear {
         slot.evicted = true;
         planner.dirty = true;
@@ -392,10 +389,7 @@
     outcome: &OrderOutcome,
     context: &mut StepContext<'_>,
 ) {
-    let Some(planner) = &mut state.planner else {
-        return;
-    };
-    let Some(life) = planner.workers.get_mut(&order.worker) else {
+    let Some(life) = state.life_mut(&order.worker) else {
         return;
     };
     let Some(slot) = life.runs.get_mut(&run) else {
@@ -531,9 +525,9 @@
     let Some(planner) = &mut state.planner else {
         return;
     };
-    let life = planner.workers.get_mut(worker);
-    let slot = life.and_then(|life| life.runs.get_mut(&run));
-    let Some(slot) = slot else { return };
+    let Some(slot) = planner.slot_mut(worker, &run) else {
+        return;
+    };
     let answered = slot.stop.and_then(|stop| stop.answered);
     slot.stop = Some(StopMark { sent: at, answered });
     let reason = if slot.evicted { "evicted" } else { "unwanted" };
--- a/core/src/batch/outcome.rs
+++ b/core/src/batch/outcome.rs
@@ -28,10 +28,7 @@
     reason: &str,
     context: &mut StepContext<'_>,
 ) {
-    let Some(planner) = &mut state.planner else {
-        return;
-    };
-    let Some(life) = planner.workers.get_mut(worker) else {
+    let Some(life) = state.life_mut(worker) else {
         return;
     };
     life.listed = false;
--- a/core/src/batch/planner.rs
+++ b/core/src/batch/planner.rs
@@ -132,6 +132,11 @@
         }
     }
 
+    /// Returns the slot of a run on a worker.
+    pub fn slot_mut(&mut self, worker: &WorkerName, run: &RunKey) -> Option<&mut RunSlot> {
+        self.workers.get_mut(worker)?.runs.get_mut(run)
+    }
+
     /// Removes a run that takes no room any more.
     pub fn remove_slot(&mut self, worker: &WorkerName, run: &RunKey) -> Option<RunSlot> {
         let slot = self.workers.get_mut(worker)?.runs.swap_remove(run)?;
--- a/core/src/batch/state.rs
+++ b/core/src/batch/state.rs
@@ -6,6 +6,7 @@
 use crate::batch::catalog::QueueCatalog;
 use crate::batch::intake::IntakeTable;
 use crate::batch::job::JobKey;
+use crate::batch::life::WorkerLife;
 use crate::batch::message::StoreStream;
 use crate::batch::planner::PlannerState;
 use crate::batch::settings::BatchSettings;
@@ -14,6 +15,7 @@
 use crate::batch::writer::WriteQueue;
 use crate::ids::DaemonName;
 use crate::ids::DomainName;
+use crate::ids::WorkerName;
 use crate::units::ClockTime;
 use crate::units::TimeSpan;
 
@@ -79,6 +81,11 @@
         }
     }
 
+    /// Returns a worker's life, while this daemon plans.
+    pub fn life_mut(&mut self, worker: &WorkerName) -> Option<&mut WorkerLife> {
+        self.planner.as_mut()?.workers.get_mut(worker)
+    }
+
     /// Tells whether the configuration was confirmed recently enough to admit callers.
     ///
     /// A key that was taken away must stop working at daemons that cannot reach the store, too.
