Bound the time of a choice of runs to stop at the target size

Test: room_for_the_largest_gang_is_found_in_time_at_the_target_size bounds the choice by the 3.3 s of urgent work.

--- a/core/src/batch/evict.rs
+++ b/core/src/batch/evict.rs
@@ -1,6 +1,7 @@
 //! Choosing runs that make room for urgent work.
 
 use indexmap::IndexMap;
+use indexmap::IndexSet;
 
 use crate::batch::job::RunKey;
 use crate::batch::job::StepDefinition;
@@ -55,6 +56,7 @@
     count: u64,
 ) -> Option<EvictionPlan> {
     let victims = victims(candidates);
+    let by_place = victims_by_place(rooms.len(), &victims);
     let wants_rack = step.affinity.is_some() || (step.gang && step.rack_sensitive);
     let mut best: Option<EvictionPlan> = None;
     if wants_rack {
@@ -62,7 +64,7 @@
             if step.affinity.as_ref().is_some_and(|wished| wished != rack) {
                 continue;
             }
-            let plan = fill(rooms, &victims, step, &places, count);
+            let plan = fill(rooms, &victims, &by_place, step, &places, count);
             best = match (best, plan) {
                 (Some(best), Some(plan)) if plan.cost >= best.cost => Some(best),
                 (best, plan) => plan.or(best),
@@ -70,7 +72,7 @@
         }
     }
     let all: Vec<usize> = (0..rooms.len()).collect();
-    best.or_else(|| fill(rooms, &victims, step, &all, count))
+    best.or_else(|| fill(rooms, &victims, &by_place, step, &all, count))
 }
 
 fn victims(candidates: &[EvictionCandidate]) -> Vec<EvictionVictim<'_>> {
@@ -101,9 +103,23 @@
     rooms: Vec<WorkerRoom<'a>>,
     places: &'v [usize],
     step: &'v StepDefinition,
+    is_place: Vec<bool>,
 }
 
-impl FreedRoom<'_, '_> {
+impl<'a, 'v> FreedRoom<'a, 'v> {
+    fn new(rooms: &[WorkerRoom<'a>], places: &'v [usize], step: &'v StepDefinition) -> Self {
+        let mut is_place = vec![false; rooms.len()];
+        for &place in places {
+            is_place[place] = true;
+        }
+        Self {
+            rooms: rooms.to_vec(),
+            places,
+            step,
+            is_place,
+        }
+    }
+
     /// Returns how many tasks fit in the room.
     fn count(&self) -> u64 {
         let counts = self.places.iter();
@@ -118,7 +134,7 @@
         }
     }
 
-    fn fill_again(&mut self, victim: &EvictionVictim<'_>) {
+    fn restore(&mut self, victim: &EvictionVictim<'_>) {
         for member in &victim.members {
             self.rooms[member.place].free.take(&member.demand);
         }
@@ -139,31 +155,36 @@
 fn fill(
     rooms: &[WorkerRoom<'_>],
     victims: &[EvictionVictim<'_>],
+    by_place: &[Vec<usize>],
     step: &StepDefinition,
     places: &[usize],
     count: u64,
 ) -> Option<EvictionPlan> {
-    let mut room = FreedRoom {
-        rooms: rooms.to_vec(),
-        places,
-        step,
-    };
+    let mut room = FreedRoom::new(rooms, places, step);
+    let mut is_stopped = vec![false; victims.len()];
     let mut stopped: Vec<usize> = Vec::new();
+    let mut options: Vec<Option<EvictionOption>> = (0..rooms.len()).map(|_| None).collect();
+    let mut changed: IndexSet<usize> = places.iter().copied().collect();
     let mut fitting = room.count();
     while fitting < count {
-        let by_place = victims_by_place(rooms.len(), victims, &stopped);
+        // Only the workers that lost a run have other options than before.
+        for place in changed.drain(..).filter(|&place| room.is_place[place]) {
+            let left = by_place[place].iter().copied();
+            let left = left.filter(|&victim| !is_stopped[victim]);
+            options[place] = cheapest_option(&room, victims, left, place);
+        }
         let missing = count - fitting;
-        let options = places
-            .iter()
-            .filter_map(|&place| option(&room, victims, &by_place[place], place, missing));
-        let best = options.min_by_key(|option| option.cost * SCALE / option.tasks)?;
+        let open = options.iter().flatten();
+        let best = open.min_by_key(|option| option.cost * SCALE / option.tasks.min(missing))?;
         for &victim in &best.victims {
             room.free(&victims[victim]);
+            is_stopped[victim] = true;
+            changed.extend(victims[victim].members.iter().map(|member| member.place));
         }
-        stopped.extend(best.victims);
+        stopped.extend(&best.victims);
         fitting = room.count();
     }
-    spare(&mut room, victims, &mut stopped, count);
+    prune(&mut room, victims, &mut stopped, count);
     let members = stopped.iter().flat_map(|&victim| &victims[victim].members);
     Some(EvictionPlan {
         places: room.places(count),
@@ -173,7 +194,7 @@
 }
 
 /// Takes back stops that turn out not to be needed, the dearest first.
-fn spare(
+fn prune(
     room: &mut FreedRoom<'_, '_>,
     victims: &[EvictionVictim<'_>],
     stopped: &mut Vec<usize>,
@@ -181,7 +202,7 @@
 ) {
     stopped.sort_by_key(|&victim| std::cmp::Reverse(victims[victim].cost));
     stopped.retain(|&victim| {
-        room.fill_again(&victims[victim]);
+        room.restore(&victims[victim]);
         let is_needed = room.count() < count;
         if is_needed {
             room.free(&victims[victim]);
@@ -191,14 +212,10 @@
 }
 
 /// Returns the victims with a member on each worker, the cheapest first.
-fn victims_by_place(
-    places: usize,
-    victims: &[EvictionVictim<'_>],
-    stopped: &[usize],
-) -> Vec<Vec<usize>> {
+fn victims_by_place(places: usize, victims: &[EvictionVictim<'_>]) -> Vec<Vec<usize>> {
     let mut by_place: Vec<Vec<usize>> = vec![Vec::new(); places];
     for (index, victim) in victims.iter().enumerate() {
-        for member in victim.members.iter().filter(|_| !stopped.contains(&index)) {
+        for member in &victim.members {
             let list = &mut by_place[member.place];
             if list.last() != Some(&index) {
                 list.push(index);
@@ -219,17 +236,16 @@
 }
 
 /// Returns what it takes to fit one more task on a worker, and how many more fit by it anywhere.
-fn option(
+fn cheapest_option(
     room: &FreedRoom<'_, '_>,
     victims: &[EvictionVictim<'_>],
-    candidates: &[usize],
+    candidates: impl Iterator<Item = usize>,
     place: usize,
-    missing: u64,
 ) -> Option<EvictionOption> {
     let before = room.rooms[place].count(room.step);
     let mut worker = room.rooms[place].clone();
     let mut chosen = Vec::new();
-    for &index in candidates {
+    for index in candidates {
         let members = victims[index].members.iter();
         for member in members.filter(|member| member.place == place) {
             worker.free.add(&member.demand);
@@ -237,7 +253,7 @@
         chosen.push(index);
         if worker.count(room.step) > before {
             let cost = chosen.iter().map(|&index| victims[index].cost).sum();
-            let tasks = gain(room, victims, &chosen).min(missing).max(1);
+            let tasks = gain(room, victims, &chosen).max(1);
             return Some(EvictionOption {
                 victims: chosen,
                 cost,
@@ -257,9 +273,7 @@
             .or_insert_with(|| room.rooms[member.place].clone());
         worker.free.add(&member.demand);
     }
-    let here = freed
-        .iter()
-        .filter(|(place, _)| room.places.contains(place));
+    let here = freed.iter().filter(|(place, _)| room.is_place[**place]);
     here.map(|(place, worker)| worker.count(room.step) - room.rooms[*place].count(room.step))
         .sum()
 }
--- a/core/tests/batch_evict.rs
+++ b/core/tests/batch_evict.rs
@@ -1,5 +1,7 @@
 //! Choosing the runs that make room for urgent work.
 
+use std::time::Instant;
+
 use mustardpath_core::batch::evict;
 use mustardpath_core::batch::evict::EvictionCandidate;
 use mustardpath_core::batch::job::JobKey;
@@ -89,3 +91,46 @@
     let plan = evict::choose(&rooms, &candidates, &step, 1).unwrap_or_default();
     assert_eq!((plan.cost, plan.places), (0, vec![1]));
 }
+
+/// Guards against a choice whose time grows with the square of the runs, which would hold up the
+/// control thread for seconds at the target size.
+#[test]
+fn room_for_the_largest_gang_is_found_in_time_at_the_target_size() {
+    const WORKERS: usize = 870;
+    const RUNS_EACH: u64 = 18;
+    let workers = (0..WORKERS).map(|at| WorkerName::from(format!("w{at}").as_str()));
+    let workers: Vec<WorkerName> = workers.collect();
+    let rack = RackName::from("r0");
+    let rooms: Vec<WorkerRoom<'_>> = workers.iter().map(|worker| room(worker, &rack)).collect();
+    let mut candidates = Vec::new();
+    for place in 0..WORKERS {
+        for run in 0..RUNS_EACH {
+            let job = place as u64 / 8 * RUNS_EACH + run;
+            let index = u32::try_from(place % 8).expect("a small number");
+            let mut candidate = candidate(place, job, index, run % 2 == 0, 10 + job * 7 % 90);
+            candidate.demand = TaskDemand {
+                cpu: WHOLE.cpu / RUNS_EACH,
+                memory: WHOLE.memory / RUNS_EACH,
+                gpu: u64::from(run < WHOLE.gpu),
+            };
+            candidates.push(candidate);
+        }
+    }
+    let step = StepDefinition {
+        count: 64,
+        demand: TaskDemand {
+            cpu: WHOLE.cpu / 2,
+            memory: WHOLE.memory / 2,
+            gpu: 1,
+        },
+        gang: true,
+        ..StepDefinition::default()
+    };
+    let begin = Instant::now();
+    let plan = evict::choose(&rooms, &candidates, &step, 64).unwrap_or_default();
+    let span = begin.elapsed();
+    assert_eq!(plan.places.len(), 64);
+    // Urgent work has 3.3 s to its start.
+    assert!(span.as_millis() < 3_300, "{span:?}");
+    println!("{span:?} for {} runs", candidates.len());
+}
