Let the test of a blocked output fail in place of hanging

With a blocking send in the place of the bounded one the calls of the test never ended. They have a timeout now; with that mutation the test fails at "each call is answered". The daemon ends with the test in any case.

--- a/tests/blocked_output.rs
+++ b/tests/blocked_output.rs
@@ -69,16 +69,22 @@
 
     /// Ends the daemon and returns what it had written before its output was full.
     fn end(mut self) -> Vec<u8> {
-        self.child.kill().expect("the daemon runs");
-        self.child.wait().expect("the daemon ends");
-        fs::remove_file(&self.settings).expect("the settings are there");
-        let mut written = Vec::new();
         let mut output = self.child.stdout.take().expect("the output is a pipe");
+        drop(self);
+        let mut written = Vec::new();
         output.read_to_end(&mut written).expect("the pipe is read");
         written
     }
 }
 
+impl Drop for BlockedDaemon {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = fs::remove_file(&self.settings);
+    }
+}
+
 /// Returns the answer's status and body, and the time that it took.
 fn call(agent: &ureq::Agent, method: &str, url: &str) -> Option<(u16, String, Duration)> {
     let begin = Instant::now();
@@ -99,7 +105,9 @@
 #[test]
 fn a_full_standard_output_delays_no_call() {
     let daemon = BlockedDaemon::start();
-    let config = ureq::Agent::config_builder().http_status_as_error(false);
+    let config = ureq::Agent::config_builder()
+        .http_status_as_error(false)
+        .timeout_global(Some(MOST_WAIT));
     let agent = ureq::Agent::new_with_config(config.build());
     let metrics = format!("http://{}/metrics", daemon.metrics);
     let is_up = (0..100).any(|_| {
