--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -14,12 +14,13 @@
 use std::sync::mpsc::Sender;
 use std::thread::JoinHandle;
 
-use mustardpath_core::config::KeyDigest;
-use mustardpath_core::settings::DaemonSettings;
 use rouille::Request;
 use rouille::Response;
 use rouille::Server;
 
+use mustardpath_core::config::KeyDigest;
+use mustardpath_core::settings::DaemonSettings;
+
 /// Returns the settings of a daemon that reaches neither a log nor a VM list.
 pub fn settings(call_threads: u32) -> DaemonSettings {
     serde_json::from_value(serde_json::json!({
