Log the load of the control thread, slow appends and overdue urgent work

Now it shows how busy the control thread is in each second and how many events wait, appends that fail or take 200 ms, and urgent units after four tenths of their bound with what their team holds and what is free. No decision changes.

--- a/core/src/batch/mod.rs
+++ b/core/src/batch/mod.rs
@@ -15,6 +15,7 @@
 pub mod message;
 pub mod orders;
 mod outcome;
+pub mod overdue;
 pub mod placement;
 pub mod planner;
 pub mod record;
--- /dev/null
+++ b/core/src/batch/overdue.rs
@@ -0,0 +1,86 @@
+//! Urgent work that has waited for long, with what the guarantees and the room say about it.
+
+use crate::batch::job::JobDefinition;
+use crate::batch::job::StepKey;
+use crate::batch::planner::PlannerState;
+use crate::batch::state::BatchState;
+use crate::batch::unit::WaitingUnit;
+use crate::context::StepContext;
+use crate::effect::LogPart;
+use crate::ids::TeamName;
+use crate::units::ClockTime;
+use crate::units::TimeSpan;
+
+/// Share of the reclaim bound, in tenths, after which a waiting urgent unit is logged.
+const OVERDUE_TENTHS: u64 = 4;
+
+/// Tells whether a unit is urgent and has waited for long.
+#[must_use]
+pub fn is_overdue(unit: &WaitingUnit<'_>, bound: TimeSpan, at: ClockTime) -> bool {
+    let limit = TimeSpan(bound.0 * OVERDUE_TENTHS / 10);
+    unit.definition.priority == 0 && at.since(unit.ready_at) >= limit
+}
+
+/// Returns the accelerators that a job takes at its widest step.
+#[must_use]
+pub fn widest_gpu(definition: &JobDefinition) -> u64 {
+    let steps = definition.draft.steps.iter();
+    let widths = steps.map(|step| u64::from(step.count) * step.demand.gpu);
+    widths.max().unwrap_or(0)
+}
+
+/// Returns the accelerators that a team's urgent jobs take together while they have not ended.
+#[must_use]
+pub fn urgent_gpu(state: &BatchState, planner: &PlannerState, team: &TeamName) -> u64 {
+    let jobs = planner.open_jobs.iter();
+    let entries = jobs.filter_map(|job| state.book.jobs.get(job)?.open_definition());
+    let urgent = entries.filter(|job| job.priority == 0 && job.team.as_ref() == Some(team));
+    urgent.map(widest_gpu).sum()
+}
+
+/// Describes an overdue unit: what it needs, what its team may claim, and what is free.
+#[must_use]
+pub fn describe(
+    state: &BatchState,
+    planner: &PlannerState,
+    unit: &WaitingUnit<'_>,
+    at: ClockTime,
+) -> String {
+    let team = unit.definition.team.as_ref();
+    let config = team.and_then(|team| state.catalog.teams.get(team));
+    let held = team.map_or(0, |team| urgent_gpu(state, planner, team));
+    let usable = planner.workers.values().filter(|life| life.is_usable(at));
+    let free: u64 = usable.clone().map(|life| life.free().gpu).sum();
+    let slots = planner.workers.values().flat_map(|life| life.runs.values());
+    let gpu_where = |lower: bool| -> u64 {
+        let slots = slots.clone().filter(|slot| (slot.priority > 0) == lower);
+        slots.map(|slot| slot.demand.gpu).sum()
+    };
+    format!(
+        "step={} outcome=waiting waited_ms={} tasks={} gpu={} rack={} team_gpu={held} \
+         guaranteed={} claim={} usable={} free_gpu={free} urgent_gpu={} lower_gpu={}",
+        unit.key,
+        at.since(unit.ready_at),
+        unit.members.len(),
+        unit.step.demand.gpu,
+        unit.step.rack_sensitive,
+        config.map_or(0, |config| config.guaranteed_gpu),
+        planner.claims.contains_key(&unit.key),
+        usable.count(),
+        gpu_where(false),
+        gpu_where(true),
+    )
+}
+
+/// Logs each overdue unit once.
+pub fn log(
+    planner: &mut PlannerState,
+    lines: Vec<(StepKey, String)>,
+    context: &mut StepContext<'_>,
+) {
+    for (key, line) in lines {
+        if planner.overdue.insert(key) {
+            context.info(LogPart::Plan, line);
+        }
+    }
+}
--- a/core/src/batch/planner.rs
+++ b/core/src/batch/planner.rs
@@ -97,6 +97,8 @@
     pub claims: IndexMap<StepKey, RoomClaim>,
     /// Workers where runs of a step have failed.
     pub failed_places: IndexMap<StepKey, IndexSet<WorkerName>>,
+    /// Urgent units that were logged because they have waited for long.
+    pub overdue: IndexSet<StepKey>,
     /// Jobs that have work left.
     pub open_jobs: IndexSet<JobKey>,
     /// Whether something has changed since the last round.
@@ -119,6 +121,7 @@
             begun: IndexSet::new(),
             claims: IndexMap::new(),
             failed_places: IndexMap::new(),
+            overdue: IndexSet::new(),
             open_jobs: IndexSet::new(),
             dirty: true,
         }
@@ -350,6 +353,7 @@
         planner.phases.swap_remove(&job);
         planner.begun.swap_remove(&job);
         planner.failed_places.retain(|step, _| step.job != job);
+        planner.overdue.retain(|step| step.job != job);
     }
 }
 
--- a/core/src/batch/round.rs
+++ b/core/src/batch/round.rs
@@ -13,6 +13,7 @@
 use crate::batch::life::RunSlot;
 use crate::batch::message::BatchEffect;
 use crate::batch::message::JobStage;
+use crate::batch::overdue;
 use crate::batch::placement;
 use crate::batch::placement::RackRule;
 use crate::batch::placement::WorkerRoom;
@@ -59,6 +60,7 @@
     placements: Vec<(TaskKey, WorkerName)>,
     evictions: Vec<RunKey>,
     claims: IndexMap<StepKey, Vec<WorkerName>>,
+    overdue: Vec<(StepKey, String)>,
 }
 
 /// What all members of a gang start with.
@@ -84,7 +86,10 @@
     planner
         .claims
         .retain(|_, claim| at.since(claim.since) < CLAIM_TIME);
-    let plan = decide(state, at);
+    let mut plan = decide(state, at);
+    if let Some(planner) = &mut state.planner {
+        overdue::log(planner, std::mem::take(&mut plan.overdue), context);
+    }
     carry_out(state, plan, context);
 }
 
@@ -117,7 +122,16 @@
         }
     }
     for unit in &units {
+        let placed = plan.placements.len();
         plan_unit(state, planner, unit, &mut table, at, &mut plan);
+        let is_waiting = plan.placements.len() == placed;
+        if is_waiting
+            && overdue::is_overdue(unit, state.settings.reclaim, at)
+            && !planner.overdue.contains(&unit.key)
+        {
+            let line = overdue::describe(state, planner, unit, at);
+            plan.overdue.push((unit.key, line));
+        }
     }
     plan
 }
--- a/core/src/batch/step.rs
+++ b/core/src/batch/step.rs
@@ -45,6 +45,9 @@
 /// Share of the grace period, in tenths, after which a stopping daemon ends in any case.
 const STOP_TENTHS: u64 = 7;
 
+/// Time of an append from which it is logged.
+const SLOW_APPEND: TimeSpan = TimeSpan(200);
+
 /// Time that the balancer needs to notice that a stopping daemon is not ready.
 const STOP_WAIT: TimeSpan = TimeSpan(2_500);
 
@@ -283,12 +286,14 @@
 ) {
     let at = context.at;
     if let Some(news) = state.intake_lane.take(batch, outcome, false, at) {
+        note_append("intake", &news, state.intake_lane.len(), context);
         confirmed(state, &news, context);
         intake::written(state, &news, context);
         return;
     }
     if let Some(news) = state.planner_lane.take(batch, outcome, true, at) {
         state.term.written(&news);
+        note_append("planner", &news, state.planner_lane.len(), context);
         confirmed(state, &news, context);
         if news.is_fenced {
             term::resign(state, "the store has seen a newer epoch", context);
@@ -296,6 +301,20 @@
     }
 }
 
+/// Logs an append that took long, with what it holds up.
+fn note_append(lane: &str, news: &WriteNews, waiting: usize, context: &mut StepContext<'_>) {
+    if news.is_stored && news.took < SLOW_APPEND {
+        return;
+    }
+    let line = format!(
+        "lane={lane} outcome=append stored={} took_ms={} records={} waiting={waiting}",
+        news.is_stored,
+        news.took,
+        news.records.len()
+    );
+    context.info(LogPart::Log, line);
+}
+
 /// Acts on records as soon as their append is confirmed. A claim of the term is left to be read
 /// back, because two claims of one term get the same answer.
 fn confirmed(state: &mut BatchState, news: &WriteNews, context: &mut StepContext<'_>) {
--- a/core/src/batch/writer.rs
+++ b/core/src/batch/writer.rs
@@ -63,6 +63,8 @@
     pub records: Vec<(u64, BatchRecord)>,
     /// Whether a newer epoch has written.
     pub is_fenced: bool,
+    /// Time from the first sending of the batch until now.
+    pub took: TimeSpan,
 }
 
 impl WriteQueue {
@@ -157,7 +159,10 @@
         at: ClockTime,
     ) -> Option<WriteNews> {
         let open = self.open.as_mut().filter(|open| open.batch == batch)?;
-        let mut news = WriteNews::default();
+        let mut news = WriteNews {
+            took: at.since(open.since),
+            ..WriteNews::default()
+        };
         match outcome {
             WriteOutcome::Stored { offset } => {
                 news.is_stored = true;
--- a/src/control.rs
+++ b/src/control.rs
@@ -15,6 +15,7 @@
 use tokio::time::Instant;
 use tokio::time::MissedTickBehavior;
 
+use crate::loop_watch::LoopWatch;
 use mustardpath_core::effect::ControlEffect;
 use mustardpath_core::event::ControlEvent;
 use mustardpath_core::event::EventInput;
@@ -140,11 +141,13 @@
     let mut ticks = time::interval(TICK);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut refusals = RefusalQueue::default();
+    let mut watch = LoopWatch::default();
     let mut effects = Vec::new();
     loop {
         let Some(input) = next_input(&mut events, &mut ticks, &mut refusals).await else {
             return;
         };
+        let begun = Instant::now();
         let at = clock.now();
         reducer::apply(&mut state, &ControlEvent { at, input }, &mut effects);
         for effect in effects.drain(..) {
@@ -155,6 +158,10 @@
                 refusals.fresh.push_back(input);
             }
         }
+        watch.note(begun.elapsed(), events.len());
+        if let Some(note) = watch.turn(at) {
+            ports(note);
+        }
     }
 }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod local_run;
 pub mod log_client;
 pub mod logs;
+pub mod loop_watch;
 pub mod measure;
 pub mod metrics;
 pub mod outbound;
