Reproduce the overload of the planner on the stand-ins

The stand-in world can now charge processor time: each daemon handles its events one after another, and each costs the time of an event and of a pass over the state.

--- a/standin/src/batch/judge.rs
+++ b/standin/src/batch/judge.rs
@@ -50,6 +50,8 @@
     pub broken: Vec<String>,
     /// Starts that were carried out.
     pub starts: u64,
+    /// Runs of gangs that ended because other members did not come.
+    pub alone: u64,
 }
 
 impl BatchJudge {
--- a/standin/src/batch/world.rs
+++ b/standin/src/batch/world.rs
@@ -2,9 +2,11 @@
 
 mod delivery;
 mod lifecycle;
+pub mod pace;
 mod service;
 
 use std::collections::BTreeMap;
+use std::collections::VecDeque;
 
 use fastrand::Rng;
 use indexmap::IndexMap;
@@ -15,6 +17,7 @@
 use crate::batch::store::KeyedStore;
 use crate::batch::worker::BatchWorker;
 use crate::batch::worker::WorkerMood;
+use crate::batch::world::pace::DaemonPace;
 use mustardpath_core::batch::catalog::QueueCatalog;
 use mustardpath_core::batch::catalog::QueueConfig;
 use mustardpath_core::batch::job::JobDraft;
@@ -85,6 +88,10 @@
     frozen: bool,
     /// Events that came while the process was frozen.
     inbox: Vec<EventInput>,
+    /// Events that wait because the process is busy.
+    waiting: VecDeque<EventInput>,
+    /// Microseconds since the start of the run until which the process is busy.
+    busy_until: u64,
 }
 
 /// What happens at a time.
@@ -98,6 +105,7 @@
     ParkedRead(usize, u64, StoreStream),
     ParkedHold(WorkerName, CallId),
     Heartbeat(WorkerName),
+    Work(usize, u64),
 }
 
 /// An order on its way to a worker.
@@ -118,6 +126,8 @@
 pub struct BatchWorld {
     /// Faults that are in force.
     pub faults: BatchFaults,
+    /// What the daemons' events cost; none takes any time without it.
+    pub pace: Option<DaemonPace>,
     /// The store.
     pub store: KeyedStore,
     /// The judge.
@@ -151,9 +161,12 @@
             incarnation: 0,
             frozen: false,
             inbox: Vec::new(),
+            waiting: VecDeque::new(),
+            busy_until: 0,
         });
         let mut world = Self {
             faults: BatchFaults::default(),
+            pace: None,
             store: KeyedStore::default(),
             judge: BatchJudge::default(),
             workers: IndexMap::new(),
--- a/standin/src/batch/world/delivery.rs
+++ b/standin/src/batch/world/delivery.rs
@@ -38,6 +38,11 @@
             WorldEvent::Order(daemon, incarnation, call) => {
                 self.at_worker(daemon, incarnation, *call);
             }
+            WorldEvent::Work(daemon, incarnation) => {
+                if let Some(pace) = self.pace {
+                    self.work(daemon, incarnation, pace);
+                }
+            }
             WorldEvent::Worker(worker) => self.check_worker(&worker),
             WorldEvent::ParkedRead(daemon, incarnation, stream) => {
                 self.end_read(daemon, incarnation, stream);
@@ -59,7 +64,16 @@
             process.inbox.push(input);
             return;
         }
-        let Some(state) = &mut process.state else {
+        if self.pace.is_some() {
+            self.enqueue(daemon, incarnation, input);
+        } else {
+            self.handle(daemon, incarnation, input);
+        }
+    }
+
+    /// Lets a daemon handle an event.
+    pub(super) fn handle(&mut self, daemon: usize, incarnation: u64, input: EventInput) {
+        let Some(state) = &mut self.daemons[daemon].state else {
             return;
         };
         let mut effects = Vec::new();
--- a/standin/src/batch/world/lifecycle.rs
+++ b/standin/src/batch/world/lifecycle.rs
@@ -25,6 +25,8 @@
         process.incarnation += 1;
         process.frozen = false;
         process.inbox.clear();
+        process.waiting.clear();
+        process.busy_until = 0;
         let incarnation = process.incarnation;
         let unique = incarnation * 100 + daemon as u64;
         process.state = Some(DaemonState::new(process.settings.clone(), unique));
--- a/standin/src/batch/world/service.rs
+++ b/standin/src/batch/world/service.rs
@@ -295,7 +295,8 @@
                     self.judge.worked.insert(run.task);
                 }
                 RunEnding::Failed => self.judge.run_failed(&run),
-                _ => {}
+                RunEnding::Alone => self.judge.alone += 1,
+                RunEnding::Stopped | RunEnding::Lapsed | RunEnding::Broken => {}
             }
             if self.gang_size(&run.task.step).is_some() {
                 self.end_gang(run, ending);
