Settle the state once for several events

Cause: after each event the reducer went through all workers, runs and waiting jobs. With 350 workers an event took 1 ms on average, and more the longer the queue was, so the planner fell behind; orders timed out although the workers had answered, which stopped gangs and made more events; seconds later the term was lost, and so was its successor's. The class is work that is proportional to the state at each event.

Change: the new event Settle does what looks at the whole state. The control loop sends it when no other event waits, or after 64. A planner that falls behind now does less work for each event and catches up.

Ruled out: slow appends (the store answers in 4 ms; the answers waited in the planner's queue).

The control thread is still busy for 380 to 820 ms of a second on a machine of 0.5 cores.

--- a/core/src/batch/mod.rs
+++ b/core/src/batch/mod.rs
@@ -31,5 +31,6 @@
 
 pub use step::apply;
 pub use step::reload;
+pub use step::settle;
 pub use step::stop;
 pub use step::tick;
--- a/core/src/batch/step.rs
+++ b/core/src/batch/step.rs
@@ -71,7 +71,6 @@
         BatchInput::Written { batch, outcome } => written(state, *batch, *outcome, context),
         BatchInput::Order { call, outcome } => orders::answered(state, *call, outcome, context),
     }
-    advance(state, context);
 }
 
 /// Handles the passing of time.
@@ -82,7 +81,6 @@
         planner.dirty = true;
     }
     finish_stop(state, context);
-    advance(state, context);
 }
 
 /// Begins an orderly end.
@@ -94,7 +92,6 @@
     state.stopping = Some(context.at);
     context.push(ControlEffect::Batch(BatchEffect::CloseCallers));
     term::release(state, context);
-    advance(state, context);
 }
 
 /// Takes changed settings.
@@ -108,7 +105,7 @@
 }
 
 /// Sends what has become due: orders, placements, appends and reads.
-fn advance(state: &mut BatchState, context: &mut StepContext<'_>) {
+pub fn settle(state: &mut BatchState, context: &mut StepContext<'_>) {
     orders::tick(state, context);
     round::run(state, context);
     if let Some(lane) = term::lane(state) {
--- a/core/src/event.rs
+++ b/core/src/event.rs
@@ -257,6 +257,9 @@
     pub enum EventInput {
         /// Time has passed.
         Tick,
+        /// No other event waits, or enough of them were taken in. What looks at the whole state is
+        /// done now and not at each event, so that its cost is shared when events come fast.
+        Settle,
         /// A caller or an operator sent a command.
         Caller {
             /// The exchange that takes the answer.
--- a/core/src/reducer.rs
+++ b/core/src/reducer.rs
@@ -78,7 +78,7 @@
         EventInput::VmList { outcome } => member::vm_list(state, outcome, context),
         EventInput::Shutdown { level } => shutdown::begin(state, *level, context),
         // Without a batch subsystem there is nothing that these inputs could be about.
-        EventInput::Batch(_) | EventInput::Reload { .. } => {}
+        EventInput::Batch(_) | EventInput::Reload { .. } | EventInput::Settle => {}
     }
     state
         .outbox
@@ -89,6 +89,7 @@
 fn apply_batch(state: &mut BatchState, input: &EventInput, context: &mut StepContext<'_>) {
     match input {
         EventInput::Tick => batch::tick(state, context),
+        EventInput::Settle => batch::settle(state, context),
         EventInput::Batch(input) => batch::apply(state, input, context),
         EventInput::Reload { settings } => batch::reload(state, settings, context),
         EventInput::Shutdown { level } => match level {
--- a/src/control.rs
+++ b/src/control.rs
@@ -2,6 +2,7 @@
 
 use std::collections::VecDeque;
 use std::io;
+use std::ops::ControlFlow;
 use std::thread;
 use std::thread::JoinHandle;
 use std::time::Duration;
@@ -30,6 +31,9 @@
 /// Events that wait for the control thread. Traffic threads wait when it is full.
 pub const EVENT_QUEUE: usize = 4_096;
 
+/// Events that are taken in at most before the state is settled.
+const SETTLE_EVENTS: u32 = 64;
+
 /// Takes events to the control thread.
 pub type EventSender = mpsc::Sender<EventInput>;
 
@@ -142,21 +146,24 @@
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut refusals = RefusalQueue::default();
     let mut watch = LoopWatch::default();
-    let mut effects = Vec::new();
+    let mut unsettled = 0;
     loop {
         let Some(input) = next_input(&mut events, &mut ticks, &mut refusals).await else {
             return;
         };
         let begun = Instant::now();
         let at = clock.now();
-        reducer::apply(&mut state, &ControlEvent { at, input }, &mut effects);
-        for effect in effects.drain(..) {
-            if matches!(effect, ControlEffect::Exit) {
+        unsettled += 1;
+        let is_due = events.is_empty() || unsettled >= SETTLE_EVENTS;
+        let settle = is_due.then_some(EventInput::Settle);
+        if is_due {
+            unsettled = 0;
+        }
+        for input in [Some(input), settle].into_iter().flatten() {
+            let event = ControlEvent { at, input };
+            if apply(&mut state, &event, &mut ports, &mut refusals).is_break() {
                 return;
             }
-            if let Some(input) = ports(effect) {
-                refusals.fresh.push_back(input);
-            }
         }
         watch.note(begun.elapsed(), events.len());
         if let Some(note) = watch.turn(at) {
@@ -165,6 +172,26 @@
     }
 }
 
+/// Applies one event and hands its effects on. Breaks when the process is to end.
+fn apply(
+    state: &mut DaemonState,
+    event: &ControlEvent,
+    ports: &mut impl EffectSink,
+    refusals: &mut RefusalQueue,
+) -> ControlFlow<()> {
+    let mut effects = Vec::new();
+    reducer::apply(state, event, &mut effects);
+    for effect in effects {
+        if matches!(effect, ControlEffect::Exit) {
+            return ControlFlow::Break(());
+        }
+        if let Some(input) = ports(effect) {
+            refusals.fresh.push_back(input);
+        }
+    }
+    ControlFlow::Continue(())
+}
+
 /// Events that answer refused effects. They wait for the next tick, so that a reducer that tries
 /// again at once cannot keep the loop from waiting.
 #[derive(Default)]
--- a/standin/src/batch/world.rs
+++ b/standin/src/batch/world.rs
@@ -90,6 +90,8 @@
     inbox: Vec<EventInput>,
     /// Events that wait because the process is busy.
     waiting: VecDeque<EventInput>,
+    /// Events that were handled since the process last settled.
+    unsettled: u32,
     /// Microseconds since the start of the run until which the process is busy.
     busy_until: u64,
 }
@@ -162,6 +164,7 @@
             frozen: false,
             inbox: Vec::new(),
             waiting: VecDeque::new(),
+            unsettled: 0,
             busy_until: 0,
         });
         let mut world = Self {
--- a/standin/src/batch/world/delivery.rs
+++ b/standin/src/batch/world/delivery.rs
@@ -68,6 +68,7 @@
             self.enqueue(daemon, incarnation, input);
         } else {
             self.handle(daemon, incarnation, input);
+            self.handle(daemon, incarnation, EventInput::Settle);
         }
     }
 
