--- a/core/src/batch/ends.rs
+++ b/core/src/batch/ends.rs
@@ -85,6 +85,7 @@
         checkpoint: row.checkpoint.clone(),
     };
     planner.add_slot(worker, row.run, slot);
+    planner.sweep_due = true;
 }
 
 fn take_end(
--- a/core/src/batch/evict.rs
+++ b/core/src/batch/evict.rs
@@ -7,8 +7,8 @@
 use crate::batch::job::StepDefinition;
 use crate::batch::job::StepKey;
 use crate::batch::job::TaskDemand;
+use crate::batch::placement;
 use crate::batch::placement::WorkerRoom;
-use crate::ids::RackName;
 
 /// Keeps the order of costs for each task that fits when they are compared as whole numbers.
 const SCALE: u64 = 1_000;
@@ -60,7 +60,7 @@
     let wants_rack = step.affinity.is_some() || (step.gang && step.rack_sensitive);
     let mut best: Option<EvictionPlan> = None;
     if wants_rack {
-        for (rack, places) in racks(rooms) {
+        for (rack, places) in placement::by_rack(rooms) {
             if step.affinity.as_ref().is_some_and(|wished| wished != rack) {
                 continue;
             }
@@ -89,14 +89,6 @@
     victims.into_values().collect()
 }
 
-fn racks<'a>(rooms: &[WorkerRoom<'a>]) -> IndexMap<&'a RackName, Vec<usize>> {
-    let mut racks: IndexMap<&RackName, Vec<usize>> = IndexMap::new();
-    for (place, room) in rooms.iter().enumerate() {
-        racks.entry(room.rack).or_default().push(place);
-    }
-    racks
-}
-
 /// The room that stops make.
 #[derive(Clone)]
 struct FreedRoom<'a, 'v> {
--- a/core/src/batch/life.rs
+++ b/core/src/batch/life.rs
@@ -5,6 +5,7 @@
 
 use crate::batch::job::JobKey;
 use crate::batch::job::RunKey;
+use crate::batch::job::StepKey;
 use crate::batch::job::TaskDemand;
 use crate::batch::job::TaskKey;
 use crate::batch::job::WorkerCondition;
@@ -218,6 +219,13 @@
         room
     }
 
+    /// Returns the number of a step's runs that take room.
+    #[must_use]
+    pub fn runs_of(&self, step: &StepKey) -> u32 {
+        let runs = self.runs.keys().filter(|run| run.task.step == *step);
+        u32::try_from(runs.count()).unwrap_or(u32::MAX)
+    }
+
     /// Tells whether the worker can get new tasks.
     #[must_use]
     pub fn is_usable(&self, at: ClockTime) -> bool {
--- a/core/src/batch/mod.rs
+++ b/core/src/batch/mod.rs
@@ -7,12 +7,14 @@
 pub mod book;
 pub mod catalog;
 pub mod dump;
+mod enact;
 mod ends;
 pub mod evict;
 pub mod intake;
 pub mod job;
 pub mod life;
 pub mod message;
+mod miss;
 pub mod orders;
 mod outcome;
 pub mod overdue;
--- a/core/src/batch/orders.rs
+++ b/core/src/batch/orders.rs
@@ -15,6 +15,7 @@
 use crate::batch::planner::OpenOrder;
 use crate::batch::planner::OrderKind;
 use crate::batch::planner::PlannerState;
+use crate::batch::record::TaskState;
 use crate::batch::state::BatchState;
 use crate::batch::term;
 use crate::context::StepContext;
@@ -105,8 +106,11 @@
     for worker in looks {
         send_look(state, &worker, context);
     }
-    lapse(state, context);
-    sweep(state, context);
+    let planner = state.planner.as_mut();
+    if planner.is_some_and(|planner| std::mem::take(&mut planner.sweep_due)) {
+        lapse(state, context);
+        sweep(state, context);
+    }
 }
 
 /// Takes the outcome of an order.
@@ -376,7 +380,7 @@
     };
     if slot.unclear {
         slot.evicted = true;
-        planner.dirty = true;
+        planner.sweep_due = true;
         return;
     }
     outcome::run_gone(state, worker, run, context);
@@ -507,12 +511,10 @@
     if entry.open_definition().is_none() {
         return false;
     }
-    let note = planner.newest_note(entry, &run.task);
-    let is_here = matches!(
-        &note.state,
-        crate::batch::record::TaskState::Placed(life) if life.worker == *worker
-    );
-    is_here && note.attempt == run.attempt
+    planner.newest(entry, &run.task).is_some_and(|note| {
+        let is_here = matches!(&note.state, TaskState::Placed(life) if life.worker == *worker);
+        is_here && note.attempt == run.attempt
+    })
 }
 
 fn send_stop(
--- a/core/src/batch/outcome.rs
+++ b/core/src/batch/outcome.rs
@@ -73,6 +73,7 @@
     let Some(planner) = &mut state.planner else {
         return;
     };
+    planner.sweep_due = true;
     for task in tasks {
         let note = planner.newest_note(entry, &task);
         let is_live = planner.live.contains_key(&task);
--- a/core/src/batch/placement.rs
+++ b/core/src/batch/placement.rs
@@ -152,10 +152,16 @@
     })
 }
 
-fn by_rack<'a>(rooms: &[WorkerRoom<'a>]) -> indexmap::IndexMap<&'a RackName, Vec<usize>> {
-    let mut racks: indexmap::IndexMap<&RackName, Vec<usize>> = indexmap::IndexMap::new();
+/// Returns the places of each rack. Rooms that come rack by rack are told apart fastest.
+#[must_use]
+pub fn by_rack<'a>(rooms: &[WorkerRoom<'a>]) -> Vec<(&'a RackName, Vec<usize>)> {
+    let mut racks: Vec<(&RackName, Vec<usize>)> = Vec::new();
     for (place, room) in rooms.iter().enumerate() {
-        racks.entry(room.rack).or_default().push(place);
+        let known = racks.iter_mut().rev().find(|(rack, _)| *rack == room.rack);
+        match known {
+            Some((_, places)) => places.push(place),
+            None => racks.push((room.rack, vec![place])),
+        }
     }
     racks
 }
--- a/core/src/batch/planner.rs
+++ b/core/src/batch/planner.rs
@@ -103,6 +103,10 @@
     pub open_jobs: IndexSet<JobKey>,
     /// Whether something has changed since the last round.
     pub dirty: bool,
+    /// Before which time there is no further round.
+    pub next_round: ClockTime,
+    /// Whether a run may have become one that must not go on.
+    pub sweep_due: bool,
 }
 
 impl PlannerState {
@@ -124,6 +128,8 @@
             overdue: IndexSet::new(),
             open_jobs: IndexSet::new(),
             dirty: true,
+            next_round: at,
+            sweep_due: true,
         }
     }
 
@@ -162,8 +168,14 @@
     /// Returns the newest note of a task: the last one on its way, or else the one in the book.
     #[must_use]
     pub fn newest_note(&self, entry: &JobEntry, task: &TaskKey) -> TaskNote {
+        self.newest(entry, task).cloned().unwrap_or_default()
+    }
+
+    /// Returns the newest note of a task that was ever placed.
+    #[must_use]
+    pub fn newest<'a>(&'a self, entry: &'a JobEntry, task: &TaskKey) -> Option<&'a TaskNote> {
         let planned = self.marks.get(task).map(|mark| &mark.note);
-        planned.or(entry.note(task)).cloned().unwrap_or_default()
+        planned.or_else(|| entry.note(task))
     }
 
     /// Sends a task's record on its way.
@@ -345,6 +357,7 @@
         return;
     };
     planner.dirty = true;
+    planner.sweep_due = true;
     let entry = state.book.jobs.get(&job);
     if entry.is_some_and(|entry| entry.open_definition().is_some()) {
         planner.open_jobs.insert(job);
--- a/core/src/batch/room.rs
+++ b/core/src/batch/room.rs
@@ -4,11 +4,19 @@
 
 use crate::batch::job::StepDefinition;
 use crate::batch::job::TaskDemand;
+use crate::batch::life::WorkerLife;
+use crate::batch::placement;
 use crate::batch::placement::WorkerRoom;
 use crate::batch::planner::PlannerState;
+use crate::batch::state::BatchState;
+use crate::batch::unit::WaitingUnit;
+use crate::ids::ServiceName;
 use crate::ids::WorkerName;
 use crate::units::ClockTime;
 
+/// Workers of each rack that are left to urgent work while other work can still wait.
+const RESERVED_WORKERS: usize = 2;
+
 /// Room on workers that is kept for a unit while other runs are stopped for it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct RoomClaim {
@@ -18,43 +26,111 @@
     pub workers: Vec<WorkerName>,
 }
 
-/// The room that is left on each worker.
+/// A worker that can get tasks in this round.
+#[derive(Debug)]
+struct RoomRow<'a> {
+    service: &'a ServiceName,
+    life: &'a WorkerLife,
+    room: WorkerRoom<'a>,
+    /// What its runs leave, before anything was placed or kept.
+    whole: TaskDemand,
+}
+
+/// The workers that can get tasks in this round, rack by rack, with the room that is left.
+///
+/// It is made once in a round; each unit looks at the part that is open to it.
 #[derive(Debug)]
 pub struct RoomTable<'a> {
-    planner: &'a PlannerState,
-    free: IndexMap<&'a WorkerName, TaskDemand>,
+    rows: Vec<RoomRow<'a>>,
+    places: IndexMap<&'a WorkerName, usize>,
+}
+
+/// The workers that are open to one unit.
+#[derive(Clone, Debug)]
+pub struct UnitView<'a> {
+    /// Their room.
+    pub rooms: Vec<WorkerRoom<'a>>,
+    /// Their rows in the table.
+    rows: Vec<usize>,
 }
 
 impl<'a> RoomTable<'a> {
     /// Creates the table from the runs that take room now.
     #[must_use]
-    pub fn new(planner: &'a PlannerState) -> Self {
-        let workers = planner.workers.iter();
-        let free = workers.map(|(worker, life)| (worker, life.free()));
+    pub fn new(state: &'a BatchState, planner: &'a PlannerState, at: ClockTime) -> Self {
+        let usable = planner.workers.iter().filter_map(|(worker, life)| {
+            let entry = life.entry.as_ref()?;
+            let is_open = !state.domains_out.contains(&entry.domain) && life.is_usable(at);
+            is_open.then_some((worker, life, entry))
+        });
+        let rows = usable.map(|(worker, life, entry)| {
+            let whole = life.free();
+            let room = WorkerRoom {
+                worker,
+                rack: &entry.rack,
+                labels: &entry.labels,
+                free: whole,
+                capacity: entry.capacity,
+                same_step: 0,
+            };
+            RoomRow {
+                service: &entry.service,
+                life,
+                room,
+                whole,
+            }
+        });
+        let mut rows: Vec<RoomRow<'a>> = rows.collect();
+        rows.sort_by_key(|row| row.room.rack);
+        let places = rows.iter().enumerate();
+        let places = places.map(|(place, row)| (row.room.worker, place));
         Self {
-            planner,
-            free: free.collect(),
+            places: places.collect(),
+            rows,
         }
     }
 
-    /// Returns what is left of a worker.
+    /// Returns the workers of the unit's service.
     #[must_use]
-    pub fn free(&self, worker: &WorkerName) -> TaskDemand {
-        self.free.get(worker).copied().unwrap_or_default()
+    pub fn view(&self, unit: &WaitingUnit<'_>) -> UnitView<'a> {
+        let rows = self.rows.iter().enumerate();
+        let rows = rows.filter(|(_, row)| *row.service == unit.definition.service);
+        let rows: Vec<usize> = rows.map(|(place, _)| place).collect();
+        let room = |place: &usize| {
+            let row = &self.rows[*place];
+            let mut room = row.room.clone();
+            if unit.step.spread.is_some() {
+                room.same_step = row.life.runs_of(&unit.key);
+            }
+            room
+        };
+        UnitView {
+            rooms: rows.iter().map(room).collect(),
+            rows,
+        }
+    }
+
+    /// Returns the runs of the workers in a view, with the worker's place in it.
+    pub fn lives<'v>(
+        &'v self,
+        view: &'v UnitView<'a>,
+    ) -> impl Iterator<Item = (usize, &'a WorkerLife)> + 'v {
+        let rows = view.rows.iter().enumerate();
+        rows.map(|(place, row)| (place, self.rows[*row].life))
     }
 
     /// Takes over what a view shows after placements in it.
-    pub fn update(&mut self, rooms: &[WorkerRoom<'a>]) {
-        for room in rooms {
-            self.free.insert(room.worker, room.free);
+    pub fn update(&mut self, view: &UnitView<'a>) {
+        for (room, row) in view.rooms.iter().zip(&view.rows) {
+            self.rows[*row].room.free = room.free;
         }
     }
 
     /// Keeps the room of a claim from other units.
     pub fn withhold(&mut self, claim: &RoomClaim, step: &StepDefinition) {
         for worker in &claim.workers {
-            if let Some(room) = self.free.get_mut(worker) {
-                room.take(&step.room());
+            if let Some(row) = self.row_mut(worker) {
+                row.room.free.take(&step.room());
             }
         }
     }
@@ -62,10 +138,10 @@
     /// Gives the room of a claim to the unit that it is kept for.
     pub fn lend(&mut self, claim: &RoomClaim, step: &StepDefinition) {
         for worker in &claim.workers {
-            let life = self.planner.workers.get(worker);
-            if let (Some(room), Some(life)) = (self.free.get_mut(worker), life) {
+            if let Some(row) = self.row_mut(worker) {
                 // Runs that are still stopping can take more than the claim has left.
-                let whole = life.free();
+                let whole = row.whole;
+                let room = &mut row.room.free;
                 room.add(&step.room());
                 room.cpu = room.cpu.min(whole.cpu);
                 room.memory = room.memory.min(whole.memory);
@@ -73,4 +149,46 @@
             }
         }
     }
+
+    fn row_mut(&mut self, worker: &WorkerName) -> Option<&mut RoomRow<'a>> {
+        let place = self.places.get(worker)?;
+        self.rows.get_mut(*place)
+    }
+}
+
+impl<'a> UnitView<'a> {
+    /// Leaves out the workers on which runs of the unit's step have failed, as long as the others
+    /// could hold it.
+    pub fn leave_failures(&mut self, planner: &PlannerState, unit: &WaitingUnit<'_>) {
+        let Some(failed) = planner.failed_places.get(&unit.key) else {
+            return;
+        };
+        let others = self.filtered(|_, room| !failed.contains(room.worker));
+        if placement::can_hold(&others.rooms, unit.step) {
+            *self = others;
+        }
+    }
+
+    /// Leaves out the emptiest workers of each rack, so that urgent gangs find room in one rack
+    /// without stopping other work first, as long as the others could hold the step at full speed.
+    pub fn leave_reserve(&mut self, step: &StepDefinition) {
+        let mut is_reserved = vec![false; self.rooms.len()];
+        for (_, mut places) in placement::by_rack(&self.rooms) {
+            places.sort_unstable_by_key(|&place| (self.rooms[place].free.gpu, place));
+            for place in places.into_iter().rev().take(RESERVED_WORKERS) {
+                is_reserved[place] = true;
+            }
+        }
+        let rest = self.filtered(|place, _| !is_reserved[place]);
+        if placement::can_be_near(&rest.rooms, step) {
+            *self = rest;
+        }
+    }
+
+    fn filtered(&self, is_kept: impl Fn(usize, &WorkerRoom<'a>) -> bool) -> Self {
+        let pairs = self.rooms.iter().zip(&self.rows).enumerate();
+        let kept = pairs.filter(|(place, (room, _))| is_kept(*place, room));
+        let (rooms, rows) = kept.map(|(_, (room, row))| (room.clone(), *row)).unzip();
+        Self { rooms, rows }
+    }
 }
--- a/core/src/batch/step.rs
+++ b/core/src/batch/step.rs
@@ -79,6 +79,7 @@
     intake::tick(state, context);
     if let Some(planner) = &mut state.planner {
         planner.dirty = true;
+        planner.sweep_due = true;
     }
     finish_stop(state, context);
 }
--- a/core/src/batch/unit.rs
+++ b/core/src/batch/unit.rs
@@ -18,6 +18,17 @@
 /// Time after its latest start from which a unit no longer waits behind those that are on time.
 const LATE_LIMIT: TimeSpan = TimeSpan(12_000);
 
+/// How long a unit may go on waiting for a better place.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum UnitPatience {
+    /// As long as there is none.
+    Full,
+    /// As long as most of the room is in use.
+    Short,
+    /// No longer: its objective is at stake, or its bound if it is urgent.
+    Ended,
+}
+
 /// Tasks of one step that wait: all of a gang, or any number of single tasks.
 #[derive(Clone, Debug)]
 pub struct WaitingUnit<'a> {
@@ -115,25 +126,23 @@
     entry: &JobEntry,
     planner: &PlannerState,
 ) -> Vec<u32> {
+    let notes = entry.steps.get(&(key.occurrence, key.step));
+    let notes = notes.map_or(&[][..], Vec::as_slice);
     let is_waiting = |index: &u32| {
+        let may_run = notes.get(*index as usize).is_none_or(|note| {
+            note.state == TaskState::Waiting
+                && (step.long_running || !note.is_used_up(definition.max_attempts))
+        });
         let task = TaskKey {
             step: key,
             index: *index,
         };
-        let note = entry.note(&task);
-        let may_run = note.is_none_or(|note| {
-            note.state == TaskState::Waiting
-                && (step.long_running || !note.is_used_up(definition.max_attempts))
-        });
         may_run && planner.is_settled(&task)
     };
     if step.gang {
-        let all: Vec<u32> = (0..step.count).collect();
-        return if all.iter().all(is_waiting) {
-            all
-        } else {
-            Vec::new()
-        };
+        let is_whole = (0..step.count).all(|index| is_waiting(&index));
+        let count = if is_whole { step.count } else { 0 };
+        return (0..count).collect();
     }
     (0..step.count).filter(is_waiting).collect()
 }
