Add up the room of claims instead of cutting it off at zero

Cause: room that is kept for an urgent unit was taken away from what is free, down to zero, and given back in full. With two claims on one worker the second one disappeared at zero and came back as room that does not exist. A claim that was made in a round was not kept from later units of the same round, so two units claimed the same worker.

Change: the table adds up what is kept beside what is free, and a new claim counts at once.

--- a/core/src/batch/room.rs
+++ b/core/src/batch/room.rs
@@ -31,9 +31,10 @@
 struct RoomRow<'a> {
     service: &'a ServiceName,
     life: &'a WorkerLife,
+    /// What its runs and this round's placements leave, and what else decides about places.
     room: WorkerRoom<'a>,
-    /// What its runs leave, before anything was placed or kept.
-    whole: TaskDemand,
+    /// What is kept for units with a claim. It can exceed what is left while runs are stopping.
+    kept: TaskDemand,
 }
 
 /// The workers that can get tasks in this round, rack by rack, with the room that is left.
@@ -64,12 +65,11 @@
             is_open.then_some((worker, life, entry))
         });
         let rows = usable.map(|(worker, life, entry)| {
-            let whole = life.free();
             let room = WorkerRoom {
                 worker,
                 rack: &entry.rack,
                 labels: &entry.labels,
-                free: whole,
+                free: life.free(),
                 capacity: entry.capacity,
                 same_step: 0,
             };
@@ -77,7 +77,7 @@
                 service: &entry.service,
                 life,
                 room,
-                whole,
+                kept: TaskDemand::default(),
             }
         });
         let mut rows: Vec<RoomRow<'a>> = rows.collect();
@@ -99,6 +99,7 @@
         let room = |place: &usize| {
             let row = &self.rows[*place];
             let mut room = row.room.clone();
+            room.free.take(&row.kept);
             if unit.step.spread.is_some() {
                 room.same_step = row.life.runs_of(&unit.key);
             }
@@ -119,33 +120,27 @@
         rows.map(|(place, row)| (place, self.rows[*row].life))
     }
 
-    /// Takes over what a view shows after placements in it.
-    pub fn update(&mut self, view: &UnitView<'a>) {
-        for (room, row) in view.rooms.iter().zip(&view.rows) {
-            self.rows[*row].room.free = room.free;
+    /// Takes away what was placed on a worker.
+    pub fn place(&mut self, worker: &WorkerName, step: &StepDefinition) {
+        if let Some(row) = self.row_mut(worker) {
+            row.room.free.take(&step.room());
         }
     }
 
-    /// Keeps the room of a claim from other units.
-    pub fn withhold(&mut self, claim: &RoomClaim, step: &StepDefinition) {
-        for worker in &claim.workers {
+    /// Keeps room on workers, one place for each name, from other units.
+    pub fn withhold(&mut self, workers: &[WorkerName], step: &StepDefinition) {
+        for worker in workers {
             if let Some(row) = self.row_mut(worker) {
-                row.room.free.take(&step.room());
+                row.kept.add(&step.room());
             }
         }
     }
 
     /// Gives the room of a claim to the unit that it is kept for.
-    pub fn lend(&mut self, claim: &RoomClaim, step: &StepDefinition) {
-        for worker in &claim.workers {
+    pub fn lend(&mut self, workers: &[WorkerName], step: &StepDefinition) {
+        for worker in workers {
             if let Some(row) = self.row_mut(worker) {
-                // Runs that are still stopping can take more than the claim has left.
-                let whole = row.whole;
-                let room = &mut row.room.free;
-                room.add(&step.room());
-                room.cpu = room.cpu.min(whole.cpu);
-                room.memory = room.memory.min(whole.memory);
-                room.gpu = room.gpu.min(whole.gpu);
+                row.kept.take(&step.room());
             }
         }
     }
--- a/core/src/batch/round.rs
+++ b/core/src/batch/round.rs
@@ -134,7 +134,7 @@
     };
     for (key, claim) in &planner.claims {
         if let Some(unit) = units.iter().find(|unit| unit.key == *key) {
-            round.table.withhold(claim, unit.step);
+            round.table.withhold(&claim.workers, unit.step);
         }
     }
     for unit in &units {
@@ -152,7 +152,7 @@
     let planner = round.planner;
     let claim = planner.claims.get(&unit.key);
     if let Some(claim) = claim {
-        round.table.lend(claim, unit.step);
+        round.table.lend(&claim.workers, unit.step);
     }
     let has_failures = planner.failed_places.contains_key(&unit.key);
     let is_urgent = unit.definition.priority == 0;
@@ -173,12 +173,14 @@
     }
     let before = round.plan.placements.len();
     place_unit(round, unit, &mut view, may_wait);
-    round.table.update(&view);
+    for (_, worker) in &round.plan.placements[before..] {
+        round.table.place(worker, unit.step);
+    }
     if round.plan.placements.len() > before {
         return true;
     }
     if let Some(claim) = claim {
-        round.table.withhold(claim, unit.step);
+        round.table.withhold(&claim.workers, unit.step);
         return false;
     }
     let has_room = is_urgent && make_room(round, unit, &view);
@@ -297,7 +299,9 @@
     };
     let places = choice.places.iter();
     let workers = places.map(|&place| view.rooms[place].worker.clone());
-    round.plan.claims.insert(unit.key, workers.collect());
+    let workers: Vec<WorkerName> = workers.collect();
+    round.table.withhold(&workers, unit.step);
+    round.plan.claims.insert(unit.key, workers);
     round.plan.evictions.extend(choice.runs);
     true
 }
--- a/standin/tests/batch_load.rs
+++ b/standin/tests/batch_load.rs
@@ -8,6 +8,7 @@
 use mustardpath_core::units::TimeSpan;
 use mustardpath_standin::batch::worker::WorkerMood;
 use mustardpath_standin::batch::world::BatchWorld;
+use mustardpath_standin::batch::world::pace::DaemonPace;
 
 /// Workers of a rack in the world.
 const RACK: u32 = 4;
@@ -118,3 +119,41 @@
     assert!(on_time < late, "{:#?}", world.trace);
     assert!(world.judge.broken.is_empty(), "{:#?}", world.judge.broken);
 }
+
+/// Guards against two urgent units that are given the same room of a worker, so that more starts
+/// there than it can hold (bench: cordillera-pista-grown fresh-c904, LIMIT).
+#[test]
+fn claims_of_two_units_on_one_worker_stay_within_its_capacity() {
+    let mut world = worlds::world(8, 3, 2);
+    world.trace = Some(Vec::new());
+    for number in 1..=4 {
+        world
+            .work
+            .insert(worlds::key(number), (TimeSpan(30_000), false));
+    }
+    world.work.insert(worlds::key(3), (TimeSpan(500), false));
+    // An urgent task of two accelerators that stays, and a task that can wait on each worker.
+    world.urgent.insert(worlds::key(1));
+    world.submit(0, worlds::key(1), worlds::job(vec![worlds::step(1, 2)]));
+    world.submit(0, worlds::key(2), worlds::job(vec![worlds::step(2, 2)]));
+    world.advance(TimeSpan(2_500));
+    assert_eq!(world.judge.starts, 3, "{:#?}", world.trace);
+    // Both ends arrive before the planner settles.
+    world.pace = Some(DaemonPace {
+        event: 100,
+        pass: 12_000,
+    });
+    // The first submission keeps the lane busy, so that the other two are read together.
+    world.submit(0, worlds::key(5), worlds::job(vec![worlds::step(1, 0)]));
+    world.urgent.extend([worlds::key(3), worlds::key(4)]);
+    world.submit(0, worlds::key(3), worlds::job(vec![worlds::step(1, 4)]));
+    let mut gang = worlds::step(2, 2);
+    gang.gang = true;
+    world.submit(0, worlds::key(4), worlds::job(vec![gang]));
+    world.advance(TimeSpan(2_000));
+    assert!(lines(&world, "reason=evicted") >= 1, "{:#?}", world.trace);
+    assert!(world.judge.broken.is_empty(), "{:#?}", world.judge.broken);
+    let first = worlds::time_of(&world, "run=00000000abc00003.0.0.0/1");
+    let second = worlds::time_of(&world, "run=00000000abc00004.0.0.0/1");
+    assert!(first < second, "{:#?}", world.trace);
+}
