Let daemons with little processor time plan last

Change: the settings carry the daemon's part of a core, and a daemon with less than 0.2 waits 500 ms longer before it claims a term.

--- a/core/src/batch/settings.rs
+++ b/core/src/batch/settings.rs
@@ -6,6 +6,7 @@
 use serde_with::serde_as;
 
 use crate::units::SpanText;
+use crate::units::ThousandthsNumber;
 use crate::units::TimeSpan;
 
 /// Settings of the batch subsystem: addresses, and bounds that the platform names.
@@ -34,6 +35,10 @@
     #[serde(default = "grace")]
     #[serde_as(as = "DurationSecondsWithFrac<f64>")]
     pub grace: Duration,
+    /// The part of a core that the daemon may use, in thousandths.
+    #[serde(default = "cpu_share")]
+    #[serde_as(as = "ThousandthsNumber")]
+    pub cpu_share: u32,
 }
 
 const fn max_lease() -> TimeSpan {
@@ -51,3 +56,7 @@
 const fn grace() -> Duration {
     Duration::from_secs(6)
 }
+
+const fn cpu_share() -> u32 {
+    1_000
+}
--- a/core/src/batch/term.rs
+++ b/core/src/batch/term.rs
@@ -31,6 +31,14 @@
 /// Number of ranks.
 const RANKS: u64 = 6;
 
+/// Extra wait of a daemon with little processor time. It outlasts the steps in which the silence of
+/// a planner shows, so that a daemon with more of it claims first.
+const SMALL_WAIT: TimeSpan = TimeSpan(500);
+
+/// Processor time from which a daemon can plan without falling behind, in thousandths of a core. A
+/// planner of 350 busy workers takes about 0.11 of a core (docs/CAPACITY.md).
+const PLANNER_SHARE: u32 = 200;
+
 /// Extra wait of a daemon that is far from the store.
 const FAR_WAIT: TimeSpan = TimeSpan(400);
 
@@ -235,7 +243,9 @@
     let rank = rank(&state.daemon, term);
     let is_far = state.batch_tail.round_trip() > FAR_ROUND_TRIP;
     let far = if is_far { FAR_WAIT } else { TimeSpan(0) };
-    TimeSpan(RANK_STEP.0 * rank) + far
+    let is_small = state.settings.cpu_share < PLANNER_SHARE;
+    let small = if is_small { SMALL_WAIT } else { TimeSpan(0) };
+    TimeSpan(RANK_STEP.0 * rank) + far + small
 }
 
 /// Ranks change with the term, so that no daemon is always the first.
--- a/core/src/units.rs
+++ b/core/src/units.rs
@@ -87,6 +87,10 @@
 #[derive(Clone, Copy, Debug)]
 pub struct BytesText;
 
+/// Writes and reads thousandths as a number such as `0.25`.
+#[derive(Clone, Copy, Debug)]
+pub struct ThousandthsNumber;
+
 fn parse_amount(text: &str, units: &[(&str, u64)], example: &str) -> Result<u64, String> {
     let digits = text.trim_end_matches(|letter: char| letter.is_ascii_alphabetic());
     let unit = text[digits.len()..].trim();
@@ -167,3 +171,27 @@
             .map_err(D::Error::custom)
     }
 }
+
+/// Thousandths in a whole.
+const THOUSANDTHS: f64 = 1_000.0;
+
+impl SerializeAs<u32> for ThousandthsNumber {
+    fn serialize_as<S: Serializer>(share: &u32, serializer: S) -> Result<S::Ok, S::Error> {
+        serializer.serialize_f64(f64::from(*share) / THOUSANDTHS)
+    }
+}
+
+impl<'de> DeserializeAs<'de, u32> for ThousandthsNumber {
+    fn deserialize_as<D: Deserializer<'de>>(deserializer: D) -> Result<u32, D::Error> {
+        let share = (f64::deserialize(deserializer)? * THOUSANDTHS).round();
+        if !(0.0..=f64::from(u32::MAX)).contains(&share) {
+            return Err(D::Error::custom("not a number from 0 on, such as 0.25"));
+        }
+        #[allow(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "the range was checked"
+        )]
+        Ok(share as u32)
+    }
+}
--- a/standin/tests/batch_faults.rs
+++ b/standin/tests/batch_faults.rs
@@ -161,3 +161,26 @@
     let job = &world.judge.jobs[0];
     assert!(job.unclear && job.open == 0, "{job:?}");
 }
+
+/// Guards against a planner on a VM that has too little processor time for it, while others could
+/// plan (bench: cordillera-pista-grown trouble-2, planners of 0.12 cores).
+#[test]
+fn a_daemon_with_little_processor_time_plans_last() {
+    for seed in 0..20 {
+        let small = |number| {
+            let mut settings = worlds::settings(number);
+            if let Some(batch) = &mut settings.batch {
+                batch.cpu_share = if number < 4 { 120 } else { 500 };
+            }
+            settings
+        };
+        let mut world = BatchWorld::new(seed, (0..6).map(small).collect(), 8);
+        world.advance(TimeSpan(2_000));
+        let first = world.planner().expect("there is a planner");
+        assert!(first >= 4, "seed {seed}: daemon {first} plans");
+        world.kill(first);
+        world.advance(TimeSpan(2_500));
+        let second = world.planner().expect("there is a successor");
+        assert!(second >= 4, "seed {seed}: daemon {second} plans");
+    }
+}
--- a/standin/tests/worlds/mod.rs
+++ b/standin/tests/worlds/mod.rs
@@ -32,6 +32,7 @@
             revocation: TimeSpan(5_000),
             reclaim: TimeSpan(2_700),
             grace: std::time::Duration::from_secs(6),
+            cpu_share: 250,
         }),
     }
 }
