Let a planner act only on a topic that it has read within 2 s

Cause: the planner decided, wrote and renewed its term however old its last confirmed read of the batch topic was. One whose reads fail or wait in its queue, while its appends succeed, acts on an old book for as long as it lives, and its own renewals keep the other daemons from claiming. The class is a decision on a belief without a bound on its age.

Change: rounds, starts, renewals and the planner's appends stop once the last confirmed read is older than 2 s, which leaves room for one lost read (0.9 s) and is under the bound of a cancellation. Holds go on, so running work keeps its leases. Silence lets another daemon claim.

--- a/core/src/batch/orders.rs
+++ b/core/src/batch/orders.rs
@@ -65,6 +65,10 @@
     run: RunKey,
     context: &mut StepContext<'_>,
 ) {
+    // The sweep withdraws a placement that was recorded and not started.
+    if !state.is_book_current(context.at) {
+        return;
+    }
     let Some(planner) = &mut state.planner else {
         return;
     };
--- a/core/src/batch/round.rs
+++ b/core/src/batch/round.rs
@@ -78,10 +78,11 @@
 
 /// Plans when something has changed.
 pub fn run(state: &mut BatchState, context: &mut StepContext<'_>) {
-    let Some(planner) = &mut state.planner else {
+    let at = context.at;
+    let is_current = state.is_book_current(at);
+    let Some(planner) = state.planner.as_mut().filter(|_| is_current) else {
         return;
     };
-    let at = context.at;
     let is_due = planner.dirty && at >= planner.next_round;
     if state.stopping.is_some() || !is_due || !knows_workers(planner, at) {
         return;
--- a/core/src/batch/state.rs
+++ b/core/src/batch/state.rs
@@ -23,6 +23,10 @@
 /// a confirmation.
 const REVOCATION_TENTHS: u64 = 6;
 
+/// Greatest age of the last confirmed read of the batch topic at which the planner acts on it. It
+/// leaves room for one lost read, and is shorter than the time in which a cancellation must hold.
+const BELIEF_AGE: TimeSpan = TimeSpan(2_000);
+
 /// The state of the batch subsystem of one daemon.
 #[derive(Clone, Debug)]
 pub struct BatchState {
@@ -95,6 +99,14 @@
         self.catalog.version > 0 && self.operator_tail.is_fresh(at, bound)
     }
 
+    /// Tells whether the planner may decide and write: it has read the batch topic recently enough.
+    ///
+    /// One that has not leaves running work alone and is silent, so that another daemon takes over.
+    #[must_use]
+    pub fn is_book_current(&self, at: ClockTime) -> bool {
+        self.batch_tail.is_fresh(at, BELIEF_AGE)
+    }
+
     /// Tells whether a job was accepted, as far as this daemon knows.
     #[must_use]
     pub fn is_known(&self, job: JobKey) -> bool {
--- a/core/src/batch/step.rs
+++ b/core/src/batch/step.rs
@@ -109,7 +109,9 @@
 pub fn settle(state: &mut BatchState, context: &mut StepContext<'_>) {
     orders::tick(state, context);
     round::run(state, context);
-    if let Some(lane) = term::lane(state) {
+    let may_write =
+        state.planner.is_none() || state.stopping.is_some() || state.is_book_current(context.at);
+    if let Some(lane) = term::lane(state).filter(|_| may_write) {
         state.planner_lane.flush(lane, context);
     }
     state.intake_lane.flush(WriteLane::Intake, context);
--- a/core/src/batch/term.rs
+++ b/core/src/batch/term.rs
@@ -180,7 +180,11 @@
 
 fn renew(state: &mut BatchState, context: &mut StepContext<'_>) {
     let is_quiet = context.at.since(state.term.last_sign) >= RENEWAL;
-    if !is_quiet || !state.planner_lane.is_empty() || state.stopping.is_some() {
+    if !is_quiet
+        || !state.is_book_current(context.at)
+        || !state.planner_lane.is_empty()
+        || state.stopping.is_some()
+    {
         return;
     }
     if let Some(planner) = &state.planner {
--- a/standin/src/batch/world.rs
+++ b/standin/src/batch/world.rs
@@ -75,6 +75,8 @@
     pub store_down: bool,
     /// Daemons that the store does not answer.
     pub cut_daemons: IndexSet<usize>,
+    /// Daemons whose reads of the store fail while their appends do not.
+    pub deaf_daemons: IndexSet<usize>,
     /// Workers that no daemon reaches and that do not reach the store.
     pub cut_workers: IndexSet<WorkerName>,
 }
--- a/standin/src/batch/world/service.rs
+++ b/standin/src/batch/world/service.rs
@@ -26,11 +26,12 @@
 impl BatchWorld {
     pub(super) fn at_store(&mut self, daemon: usize, incarnation: u64, effect: BatchEffect) {
         let is_away = self.faults.store_down || self.faults.cut_daemons.contains(&daemon);
+        let is_deaf = is_away || self.faults.deaf_daemons.contains(&daemon);
         match effect {
             BatchEffect::Read {
                 stream, from, wait, ..
             } => {
-                if is_away {
+                if is_deaf {
                     let outcome = StreamOutcome::Failed;
                     self.reply(daemon, incarnation, BatchInput::Read { stream, outcome });
                 } else if self.store.is_at_end(stream, from) {
@@ -42,7 +43,7 @@
                 }
             }
             BatchEffect::ReadNewest { stream, .. } => {
-                let outcome = if is_away {
+                let outcome = if is_deaf {
                     StreamOutcome::Failed
                 } else {
                     self.store.read_newest(stream)
--- a/standin/tests/batch_faults.rs
+++ b/standin/tests/batch_faults.rs
@@ -184,3 +184,30 @@
         assert!(second >= 4, "seed {seed}: daemon {second} plans");
     }
 }
+
+/// Guards against a planner that starts tasks of a job seconds after its cancellation, because it
+/// acts on a topic that it has not read for long (bench: cordillera-pista-grown trouble-2, UNASKED).
+#[test]
+fn a_planner_that_reads_nothing_starts_nothing_and_is_replaced() {
+    let mut world = worlds::world(7, 3, 2);
+    world.trace = Some(Vec::new());
+    let planner = world.planner().expect("there is a planner");
+    let other = (planner + 1) % world.daemon_count();
+    world.work.insert(worlds::key(1), (TimeSpan(1_500), false));
+    world.submit(
+        other,
+        worlds::key(1),
+        worlds::job(vec![worlds::step(60, 1)]),
+    );
+    world.advance(TimeSpan(1_000));
+    world.faults.deaf_daemons.insert(planner);
+    world.cancel(other, worlds::key(1));
+    world.advance(TimeSpan(3_000));
+    let starts = world.judge.starts;
+    world.submit(other, worlds::key(2), worlds::job(vec![worlds::step(2, 1)]));
+    world.advance(TimeSpan(6_000));
+    assert_ne!(world.planner(), Some(planner));
+    assert_eq!(world.judge.starts, starts + 2, "{:#?}", world.trace);
+    assert_eq!(world.phase(worlds::key(2)), Some(JobPhase::Completed));
+    check(&world);
+}
