Log when a silent worker answers again

The logs showed that a worker fell silent and not when it was heard again, so a silence that outlasts the lease could not be told from one that ends just after it.

Change: one line for a worker that answers after two holds without an answer, with the length of the silence and whether the lease had lapsed. No change of behaviour.

--- a/core/src/batch/orders.rs
+++ b/core/src/batch/orders.rs
@@ -42,6 +42,9 @@
 /// Wait before a hold that failed is sent again.
 const HOLD_RETRY: TimeSpan = TimeSpan(150);
 
+/// Holds without an answer in a row after which a worker counts as silent in the log.
+const SILENT_FAILURES: u32 = 2;
+
 /// Longest pause of holds while ends are on their way into the log.
 const RECORD_PAUSE: TimeSpan = TimeSpan(500);
 
@@ -246,7 +249,7 @@
     let OrderOutcome::Done { lists, .. } = outcome else {
         life.hold.failures += 1;
         life.hold.due = context.at + HOLD_RETRY;
-        if life.hold.failures == 2 {
+        if life.hold.failures == SILENT_FAILURES {
             let line = format!("worker={} outcome=silent reason={outcome:?}", order.worker);
             context.warn(LogPart::Lease, line);
         }
@@ -270,6 +273,17 @@
     if life.hold.failures > 0 || !life.listed {
         planner.dirty = true;
     }
+    if life.hold.failures >= SILENT_FAILURES {
+        let silent = life.hold.heard.map(|heard| context.at.since(heard).0);
+        let line = format!(
+            "worker={} outcome=heard_again silent_ms={} failures={} lapsed={}",
+            order.worker,
+            silent.unwrap_or(0),
+            life.hold.failures,
+            context.at > life.lapses
+        );
+        context.info(LogPart::Lease, line);
+    }
     life.hold.failures = 0;
     life.hold.heard = Some(context.at);
     if let Some(lists) = lists {
