Read an answer of the store as long as its parts arrive

Cause: a call to the store had 600 ms for its whole answer. After a restart, the 23 daemons of the far region ask for full pages of records over one link of 60 Mbit/s, which takes longer; each gave its page up and asked again at once. The link stayed full, none of the 23 ever logged "outcome=loaded", and holds of the planner timed out behind their pages until leases lapsed. The class is a retry of a large transfer under a limit for small ones.

Change: the limit is for the beginning of an answer; then each part of the body has 1 s.

an_answer_that_keeps_arriving_is_read_to_its_end failed before.

--- a/src/entry/client.rs
+++ b/src/entry/client.rs
@@ -1,14 +1,16 @@
 //! HTTP calls to the store and to workers over kept connections.
 
+use std::cell::Cell;
 use std::cell::RefCell;
 use std::io::ErrorKind;
-use std::rc::Rc;
 use std::time::Duration;
 
 use http_body_util::BodyExt;
 use http_body_util::Full;
 use hyper::Request;
+use hyper::Response;
 use hyper::body::Bytes;
+use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper::client::conn::http1::SendRequest;
 use hyper_util::rt::TokioIo;
@@ -22,6 +24,12 @@
 /// Idle connections that are kept for one address.
 const IDLE_CONNECTIONS: usize = 4;
 
+/// Longest time in which no part of an answer's body arrives.
+///
+/// A body may take longer as a whole: a full page of records does on a link that many daemons read
+/// over at once, and one that is given up and asked for again only keeps the link full.
+const STALL_TIME: Duration = Duration::from_secs(1);
+
 /// Why a call has no answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CallFailure {
@@ -51,48 +59,54 @@
 }
 
 impl CallPool {
-    /// Makes a call and waits for its answer, at most for `limit`.
+    /// Makes a call and waits for its answer: at most for `limit` until it begins, and as long as
+    /// parts of its body arrive.
     ///
     /// # Errors
     ///
     /// Returns whether the call can have been carried out.
     pub async fn call(
-        self: &Rc<Self>,
+        &self,
         address: &str,
         call: HttpCall,
         limit: Duration,
     ) -> Result<CallReply, CallFailure> {
-        let sent = RefCell::new(false);
-        let ended = time::timeout(limit, self.exchange(address, call, &sent)).await;
-        if let Ok(outcome) = ended {
-            return outcome;
-        }
-        // Connections to one address often go silent together.
-        self.idle.borrow_mut().swap_remove(address);
-        Err(failure(*sent.borrow()))
+        let sent = Cell::new(false);
+        let begun = time::timeout(limit, self.begin(address, call, &sent)).await;
+        let (answer, sender) = begun.unwrap_or_else(|_| {
+            self.forget(address);
+            Err(failure(sent.get()))
+        })?;
+        let status = answer.status().as_u16();
+        let body = collect(answer.into_body()).await.inspect_err(|_| {
+            self.forget(address);
+        })?;
+        self.put_idle(address, sender);
+        Ok(CallReply { status, body })
     }
 
-    async fn exchange(
+    async fn begin(
         &self,
         address: &str,
         call: HttpCall,
-        sent: &RefCell<bool>,
-    ) -> Result<CallReply, CallFailure> {
+        sent: &Cell<bool>,
+    ) -> Result<(Response<Incoming>, CallSender), CallFailure> {
         let mut sender = match self.take_idle(address).await {
             Some(sender) => sender,
             None => connect(address).await?,
         };
         let request = request(address, call)?;
-        *sent.borrow_mut() = true;
+        sent.set(true);
         let answer = sender.send_request(request).await.map_err(|error| {
             // A canceled request was never written to the connection.
             failure(!error.is_canceled())
         })?;
-        let status = answer.status().as_u16();
-        let body = answer.into_body().collect().await;
-        let body = body.map_err(|_| CallFailure::Unknown)?.to_bytes();
-        self.put_idle(address, sender);
-        Ok(CallReply { status, body })
+        Ok((answer, sender))
+    }
+
+    /// Closes the idle connections to an address, which often go silent together.
+    fn forget(&self, address: &str) {
+        self.idle.borrow_mut().swap_remove(address);
     }
 
     async fn take_idle(&self, address: &str) -> Option<CallSender> {
@@ -113,6 +127,21 @@
     }
 }
 
+async fn collect(mut body: Incoming) -> Result<Bytes, CallFailure> {
+    let mut whole = Vec::new();
+    loop {
+        let frame = time::timeout(STALL_TIME, body.frame()).await;
+        let frame = frame.map_err(|_| CallFailure::Unknown)?;
+        let Some(frame) = frame else {
+            return Ok(Bytes::from(whole));
+        };
+        let frame = frame.map_err(|_| CallFailure::Unknown)?;
+        if let Some(data) = frame.data_ref() {
+            whole.extend_from_slice(data);
+        }
+    }
+}
+
 const fn failure(is_sent: bool) -> CallFailure {
     if is_sent {
         CallFailure::Unknown
--- /dev/null
+++ b/tests/entry_client.rs
@@ -0,0 +1,84 @@
+//! Calls of a daemon to the store and to workers.
+
+use std::io::Read;
+use std::io::Write;
+use std::net::TcpListener;
+use std::net::TcpStream;
+use std::thread;
+use std::time::Duration;
+
+use tokio::task::LocalSet;
+
+use mustardpath::entry::client::CallFailure;
+use mustardpath::entry::client::CallPool;
+use mustardpath::entry::client::CallReply;
+use mustardpath_platform::call::HttpCall;
+
+/// Longest time until an answer begins.
+const LIMIT: Duration = Duration::from_millis(500);
+
+/// Time between two parts of a body.
+const PART_GAP: Duration = Duration::from_millis(50);
+
+/// Parts of a body. All of them together take twice as long as an answer may take to begin.
+const PARTS: usize = 20;
+
+/// Bytes of a part.
+const PART: &[u8] = &[b'x'; 100];
+
+/// Serves one call with a body of which `parts` parts are sent.
+fn serve(parts: usize) -> String {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("an address").to_string();
+    thread::spawn(move || {
+        let (stream, _) = listener.accept().expect("a connection");
+        answer(stream, parts);
+    });
+    address
+}
+
+fn answer(mut stream: TcpStream, parts: usize) {
+    let mut head = [0; 1_000];
+    let _ = stream.read(&mut head).expect("a request");
+    let length = PARTS * PART.len();
+    let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {length}\r\n\r\n");
+    stream.write_all(head.as_bytes()).expect("the head is sent");
+    for _ in 0..parts {
+        thread::sleep(PART_GAP);
+        stream.write_all(PART).expect("a part is sent");
+    }
+    // The connection stays open until the caller closes it.
+    let _ = stream.read(&mut [0]);
+}
+
+fn call(address: &str) -> Result<CallReply, CallFailure> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_io()
+        .enable_time()
+        .build()
+        .expect("a runtime");
+    let pool = CallPool::default();
+    let call = HttpCall {
+        method: "GET",
+        path: "/page".into(),
+        headers: Vec::new(),
+        body: Vec::new(),
+    };
+    LocalSet::new().block_on(&runtime, pool.call(address, call, LIMIT))
+}
+
+/// Guards against daemons that give up large pages while they arrive and ask for them again, so
+/// that none of them ever loads its jobs and the link between the regions stays full (issue 17).
+#[test]
+fn an_answer_that_keeps_arriving_is_read_to_its_end() {
+    let reply = call(&serve(PARTS)).expect("an answer");
+    assert_eq!(reply.status, 200);
+    assert_eq!(reply.body.len(), PARTS * PART.len());
+}
+
+/// Guards against a call that waits for good on a connection that has gone silent.
+#[test]
+fn an_answer_that_stops_arriving_is_given_up() {
+    let failure = call(&serve(PARTS / 2)).expect_err("the body is not whole");
+    assert_eq!(failure, CallFailure::Unknown);
+}
