Give a load of a topic more time after each one that failed

Cause: the answer to a load had 600 ms to begin, always. While 23 daemons load a configuration of 1,700 queues and their jobs over one link, answers begin later than that; each load is given up and sent again, and what was on its way is lost.

Change: 600 ms, doubled with each load in a row that fails, to 4.8 s at most; an answered page brings it back. A store that has gone silent is thus noticed late only after it has been silent for some time. Reads of a topic that is loaded keep their limit.

--- a/core/src/batch/tail.rs
+++ b/core/src/batch/tail.rs
@@ -13,6 +13,13 @@
 /// Time for an answer of the store beyond the wait that was asked for.
 const READ_TIME: TimeSpan = TimeSpan(600);
 
+/// Time until the answer to a load begins. It doubles with each load in a row that fails, because a
+/// link that is full of other daemons' loads looks like one that is silent.
+const LOAD_TIME: TimeSpan = TimeSpan(600);
+
+/// Doublings of [`LOAD_TIME`] at most.
+const LOAD_DOUBLINGS: u32 = 3;
+
 /// Wait before a failed read is tried again.
 const RETRY_WAIT: TimeSpan = TimeSpan(150);
 
@@ -31,6 +38,8 @@
     stream: StoreStream,
     next: Option<u64>,
     load: Option<StreamLoad>,
+    /// Loads in a row that have failed.
+    failed_loads: u32,
     asked: Option<ReadMark>,
     due: ClockTime,
     confirmed: Option<ClockTime>,
@@ -70,6 +79,7 @@
             stream,
             next: None,
             load: None,
+            failed_loads: 0,
             asked: None,
             due: ClockTime(0),
             confirmed: None,
@@ -114,10 +124,10 @@
         if self.asked.is_some() || context.at < self.due {
             return;
         }
-        let wait = if self.next.is_some() && self.load.is_none() {
-            pace.wait
-        } else {
+        let wait = if self.is_loading() {
             TimeSpan(0)
+        } else {
+            pace.wait
         };
         self.asked = Some(ReadMark {
             at: context.at,
@@ -133,7 +143,7 @@
             (_, load) => BatchEffect::ReadNewest {
                 stream: self.stream,
                 after: load.as_ref().and_then(|load| load.after.clone()),
-                timeout: READ_TIME,
+                timeout: self.load_time(),
             },
         };
         context.push(ControlEffect::Batch(effect));
@@ -187,19 +197,31 @@
                         format!("topic={:?} out of reach", self.stream),
                     );
                 }
+                if self.is_loading() {
+                    self.failed_loads += 1;
+                }
                 self.due = context.at + RETRY_WAIT;
                 TailNews::Nothing
             }
         }
     }
 
+    /// Tells whether the next read is one of a load.
+    const fn is_loading(&self) -> bool {
+        self.next.is_none() || self.load.is_some()
+    }
+
+    fn load_time(&self) -> TimeSpan {
+        TimeSpan(LOAD_TIME.0 << self.failed_loads.min(LOAD_DOUBLINGS))
+    }
+
     /// A read that was answered shows the topic at least as it was when the read was sent.
     fn answered(&mut self, asked: ClockTime, context: &mut StepContext<'_>) {
         if self.healthy_since.is_none() {
             self.healthy_since = Some(context.at);
             context.info(LogPart::Log, format!("topic={:?} in reach", self.stream));
         }
-        if self.load.is_none() && self.next.is_some() {
+        if !self.is_loading() {
             self.confirmed = self.confirmed.max(Some(asked));
         }
     }
@@ -216,6 +238,7 @@
         after: Option<&String>,
         end: u64,
     ) -> TailNews<'static> {
+        self.failed_loads = 0;
         let load = self.load.get_or_insert_default();
         load.records.extend_from_slice(records);
         // Later pages can show records beyond the first page's end. Reading goes on from there.
