Let urgent work within a guarantee come first and reclaim what is lent

Callers of a team that stays within its guarantee waited behind urgent jobs of teams that use more than theirs: jobs of a team with 334 accelerators in use of 176 guaranteed were served in the same order, and urgent runs were never stopped for anyone.

Cause: the order of waiting units and the choice of runs to stop looked at the queue's priority only. Accelerators that a team borrows with urgent work were as good as its own. The class is a promise of one team that depends on what the others do.

Change: a round first tells which open urgent jobs are within their teams' guarantees, the earliest of each team first. Their units come before all others, in the order in which they came, take room that is claimed for units that borrow, and may stop urgent runs that borrow, at four times the cost of work of the next priority.

--- /dev/null
+++ b/core/src/batch/guarantee.rs
@@ -0,0 +1,66 @@
+//! Guarantees of teams: which urgent jobs may claim accelerators that others use.
+
+use indexmap::IndexMap;
+use indexmap::IndexSet;
+
+use crate::batch::job::JobDefinition;
+use crate::batch::job::JobKey;
+use crate::batch::planner::PlannerState;
+use crate::batch::state::BatchState;
+use crate::ids::TeamName;
+use crate::units::ClockTime;
+
+/// Returns the accelerators that a job takes at its widest step.
+#[must_use]
+pub fn widest_gpu(definition: &JobDefinition) -> u64 {
+    let steps = definition.draft.steps.iter();
+    let widths = steps.map(|step| u64::from(step.count) * step.demand.gpu);
+    widths.max().unwrap_or(0)
+}
+
+/// Returns the accelerators that a team's urgent jobs take together while they have not ended.
+#[must_use]
+pub fn urgent_gpu(state: &BatchState, planner: &PlannerState, team: &TeamName) -> u64 {
+    let urgent = urgent_jobs(state, planner);
+    let urgent = urgent.filter(|(_, job)| job.team.as_ref() == Some(team));
+    urgent.map(|(_, job)| widest_gpu(job)).sum()
+}
+
+/// Returns the urgent jobs within the guarantees of their teams, the earliest of each team first.
+///
+/// All other work uses accelerators that are lent to it.
+#[must_use]
+pub fn covered_jobs(state: &BatchState, planner: &PlannerState) -> IndexSet<JobKey> {
+    let mut jobs: Vec<(ClockTime, JobKey, &TeamName, u64)> = urgent_jobs(state, planner)
+        .filter_map(|(key, job)| {
+            let team = job.team.as_ref()?;
+            Some((job.accepted_at, key, team, widest_gpu(job)))
+        })
+        .collect();
+    jobs.sort_unstable();
+    let mut left: IndexMap<&TeamName, u64> = IndexMap::new();
+    let mut covered = IndexSet::new();
+    for (_, key, team, gpu) in jobs {
+        let left = left.entry(team).or_insert_with(|| {
+            let config = state.catalog.teams.get(team);
+            config.map_or(0, |config| config.guaranteed_gpu)
+        });
+        if gpu <= *left {
+            *left -= gpu;
+            covered.insert(key);
+        }
+    }
+    covered
+}
+
+fn urgent_jobs<'a>(
+    state: &'a BatchState,
+    planner: &'a PlannerState,
+) -> impl Iterator<Item = (JobKey, &'a JobDefinition)> {
+    let jobs = planner.open_jobs.iter();
+    let open = jobs.filter_map(|job| {
+        let entry = state.book.jobs.get(job)?;
+        Some((*job, entry.open_definition()?))
+    });
+    open.filter(|(_, job)| job.priority == 0)
+}
--- a/core/src/batch/miss.rs
+++ b/core/src/batch/miss.rs
@@ -13,6 +13,7 @@
 struct UnitShape<'a> {
     service: &'a ServiceName,
     priority: u32,
+    covered: bool,
     demand: TaskDemand,
     /// Members of a gang, or 1 for single tasks.
     count: u32,
@@ -54,6 +55,7 @@
     Some(UnitShape {
         service: &unit.definition.service,
         priority: unit.definition.priority,
+        covered: unit.covered,
         demand: step.room(),
         count: if step.gang { step.count } else { 1 },
         wants_rack: step.rack_sensitive,
--- a/core/src/batch/mod.rs
+++ b/core/src/batch/mod.rs
@@ -10,6 +10,7 @@
 mod enact;
 mod ends;
 pub mod evict;
+pub mod guarantee;
 pub mod intake;
 pub mod job;
 pub mod life;
--- a/core/src/batch/overdue.rs
+++ b/core/src/batch/overdue.rs
@@ -1,13 +1,12 @@
 //! Urgent work that has waited for long, with what the guarantees and the room say about it.
 
-use crate::batch::job::JobDefinition;
+use crate::batch::guarantee;
 use crate::batch::job::StepKey;
 use crate::batch::planner::PlannerState;
 use crate::batch::state::BatchState;
 use crate::batch::unit::WaitingUnit;
 use crate::context::StepContext;
 use crate::effect::LogPart;
-use crate::ids::TeamName;
 use crate::units::ClockTime;
 use crate::units::TimeSpan;
 
@@ -21,23 +20,6 @@
     unit.definition.priority == 0 && at.since(unit.ready_at) >= limit
 }
 
-/// Returns the accelerators that a job takes at its widest step.
-#[must_use]
-pub fn widest_gpu(definition: &JobDefinition) -> u64 {
-    let steps = definition.draft.steps.iter();
-    let widths = steps.map(|step| u64::from(step.count) * step.demand.gpu);
-    widths.max().unwrap_or(0)
-}
-
-/// Returns the accelerators that a team's urgent jobs take together while they have not ended.
-#[must_use]
-pub fn urgent_gpu(state: &BatchState, planner: &PlannerState, team: &TeamName) -> u64 {
-    let jobs = planner.open_jobs.iter();
-    let entries = jobs.filter_map(|job| state.book.jobs.get(job)?.open_definition());
-    let urgent = entries.filter(|job| job.priority == 0 && job.team.as_ref() == Some(team));
-    urgent.map(widest_gpu).sum()
-}
-
 /// Describes an overdue unit: what it needs, what its team may claim, and what is free.
 #[must_use]
 pub fn describe(
@@ -48,7 +30,7 @@
 ) -> String {
     let team = unit.definition.team.as_ref();
     let config = team.and_then(|team| state.catalog.teams.get(team));
-    let held = team.map_or(0, |team| urgent_gpu(state, planner, team));
+    let held = team.map_or(0, |team| guarantee::urgent_gpu(state, planner, team));
     let usable = planner.workers.values().filter(|life| life.is_usable(at));
     let free: u64 = usable.clone().map(|life| life.free().gpu).sum();
     let slots = planner.workers.values().flat_map(|life| life.runs.values());
@@ -58,13 +40,14 @@
     };
     format!(
         "step={} outcome=waiting waited_ms={} tasks={} gpu={} rack={} team_gpu={held} \
-         guaranteed={} claim={} usable={} free_gpu={free} urgent_gpu={} lower_gpu={}",
+         guaranteed={} covered={} claim={} usable={} free_gpu={free} urgent_gpu={} lower_gpu={}",
         unit.key,
         at.since(unit.ready_at),
         unit.members.len(),
         unit.step.demand.gpu,
         unit.step.rack_sensitive,
         config.map_or(0, |config| config.guaranteed_gpu),
+        unit.covered,
         planner.claims.contains_key(&unit.key),
         usable.count(),
         gpu_where(false),
--- a/core/src/batch/round.rs
+++ b/core/src/batch/round.rs
@@ -8,6 +8,8 @@
 use crate::batch::enact;
 use crate::batch::evict;
 use crate::batch::evict::EvictionCandidate;
+use crate::batch::guarantee;
+use crate::batch::job::JobKey;
 use crate::batch::job::RunKey;
 use crate::batch::job::StepKey;
 use crate::batch::job::TaskKey;
@@ -46,6 +48,9 @@
 /// A GPU counts as this many cores in the cost of lost work.
 const GPU_CORES: u64 = 8;
 
+/// Cost of work that is lost in an urgent run, relative to one of the next priority.
+const URGENT_WEIGHT: u64 = 4;
+
 /// Share of the reclaim bound, in tenths, after which an urgent unit takes any place.
 const ANY_PLACE_TENTHS: u64 = 7;
 
@@ -69,6 +74,8 @@
     state: &'a BatchState,
     planner: &'a PlannerState,
     at: ClockTime,
+    /// Urgent jobs within the guarantees of their teams.
+    covered: &'a IndexSet<JobKey>,
     table: RoomTable<'a>,
     misses: MissTable<'a>,
     /// What it costs to stop a member of each gang, once that was asked for.
@@ -123,29 +130,44 @@
     if units.is_empty() {
         return RoundPlan::default();
     }
+    let covered = guarantee::covered_jobs(state, planner);
+    for unit in &mut units {
+        unit.covered = covered.contains(&unit.key.job);
+    }
     units.sort_by_key(|unit| unit.rank(at));
     let mut round = RoundContext {
         state,
         planner,
         at,
+        covered: &covered,
         table: RoomTable::new(state, planner, at),
         misses: MissTable::default(),
         gang_costs: OnceCell::new(),
         plan: RoundPlan::default(),
     };
-    for (key, claim) in &planner.claims {
+    // A claim on lent accelerators holds nothing back from units within a guarantee.
+    let first_lent = units.partition_point(|unit| unit.covered);
+    let (within, lent) = units.split_at(first_lent);
+    for units in [within, lent] {
+        plan_units(&mut round, units);
+    }
+    round.plan
+}
+
+/// Plans units that come before all that are left.
+fn plan_units<'a>(round: &mut RoundContext<'a>, units: &[WaitingUnit<'a>]) {
+    for (key, claim) in &round.planner.claims {
         if let Some(unit) = units.iter().find(|unit| unit.key == *key) {
             round.table.withhold(&claim.workers, unit.step);
         }
     }
-    for unit in &units {
-        let is_placed = plan_unit(&mut round, unit);
+    for unit in units {
+        let is_placed = plan_unit(round, unit);
         if !is_placed {
             round.plan.waiting += 1;
-            note_overdue(&mut round, unit);
+            note_overdue(round, unit);
         }
     }
-    round.plan
 }
 
 /// Places a unit, or makes room for it if it is urgent. Tells whether any task was placed.
@@ -279,7 +301,8 @@
     let mut candidates = Vec::new();
     for (place, life) in round.table.lives(view) {
         for (run, slot) in &life.runs {
-            let is_lower = slot.priority > unit.definition.priority;
+            let is_lent = unit.covered && !round.covered.contains(&run.task.step.job);
+            let is_lower = is_lent || slot.priority > unit.definition.priority;
             let is_stoppable = matches!(slot.phase, RunPhase::Running | RunPhase::Sent);
             let is_stopping = slot.evicted || round.plan.evictions.contains(run);
             if is_lower && is_stoppable && !is_stopping {
@@ -323,5 +346,9 @@
     let cores = slot.demand.cpu / 1_000 + slot.demand.gpu * GPU_CORES;
     let seconds = at.since(slot.placed).0 / 1_000 + 1;
     let saved = if slot.checkpoint.is_empty() { 1 } else { 4 };
-    cores * seconds / saved / u64::from(slot.priority.max(1))
+    let cost = cores * seconds / saved;
+    match u64::from(slot.priority) {
+        0 => cost * URGENT_WEIGHT,
+        priority => cost / priority,
+    }
 }
--- a/core/src/batch/unit.rs
+++ b/core/src/batch/unit.rs
@@ -29,6 +29,19 @@
     Ended,
 }
 
+/// The place of a unit among those that wait: the least comes first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct UnitRank {
+    /// The queue's priority.
+    priority: u32,
+    /// Whether it would use accelerators that are guaranteed to nobody, or lent.
+    is_lent: bool,
+    /// Whether it can no longer meet its objective.
+    is_late: bool,
+    /// What decides between units that are alike otherwise.
+    order: ClockTime,
+}
+
 /// Tasks of one step that wait: all of a gang, or any number of single tasks.
 #[derive(Clone, Debug)]
 pub struct WaitingUnit<'a> {
@@ -46,17 +59,29 @@
     pub ready_at: ClockTime,
     /// When the job has to be completed.
     pub deadline: ClockTime,
+    /// Whether it is urgent and within its team's guarantee.
+    pub covered: bool,
 }
 
 impl WaitingUnit<'_> {
-    /// Returns the sort key: urgent queues first, then units that can still meet their objective,
-    /// then the least time for the work that is left. Late units come back to the front after a
-    /// while, so that a steady stream of others cannot starve them.
+    /// Returns the sort key: urgent queues first, and among them units within a guarantee in the
+    /// order in which they came; then units that can still meet their objective, then the least
+    /// time for the work that is left. Late units come back to the front after a while, so that a
+    /// steady stream of others cannot starve them.
     #[must_use]
-    pub fn rank(&self, at: ClockTime) -> (u32, bool, u64) {
+    pub fn rank(&self, at: ClockTime) -> UnitRank {
         let latest_start = self.latest_start();
         let is_late = at > latest_start + LATE_GRACE && at < latest_start + LATE_LIMIT;
-        (self.definition.priority, is_late, latest_start.0)
+        UnitRank {
+            priority: self.definition.priority,
+            is_lent: !self.covered,
+            is_late: is_late && !self.covered,
+            order: if self.covered {
+                self.ready_at
+            } else {
+                latest_start
+            },
+        }
     }
 
     /// Returns the last moment at which a start at full speed meets the objective.
@@ -113,6 +138,7 @@
                     members,
                     ready_at,
                     deadline,
+                    covered: false,
                 });
             }
         }
--- a/standin/src/batch/world.rs
+++ b/standin/src/batch/world.rs
@@ -20,6 +20,7 @@
 use crate::batch::world::pace::DaemonPace;
 use mustardpath_core::batch::catalog::QueueCatalog;
 use mustardpath_core::batch::catalog::QueueConfig;
+use mustardpath_core::batch::catalog::TeamConfig;
 use mustardpath_core::batch::job::JobDraft;
 use mustardpath_core::batch::job::JobKey;
 use mustardpath_core::batch::job::JobPhase;
@@ -34,9 +35,11 @@
 use mustardpath_core::batch::message::StoreStream;
 use mustardpath_core::batch::message::StreamChange;
 use mustardpath_core::batch::message::WorkerOrder;
+use mustardpath_core::config::KeyDigest;
 use mustardpath_core::event::EventInput;
 use mustardpath_core::ids::CallId;
 use mustardpath_core::ids::CallerId;
+use mustardpath_core::ids::TeamName;
 use mustardpath_core::ids::TermNumber;
 use mustardpath_core::ids::WorkerName;
 use mustardpath_core::kind::RunStatus;
@@ -140,6 +143,8 @@
     pub workers: IndexMap<WorkerName, BatchWorker>,
     /// Jobs that are handed in to the urgent queue.
     pub urgent: IndexSet<JobKey>,
+    /// Teams of jobs; the others are handed in without a key.
+    pub owners: IndexMap<JobKey, TeamName>,
     /// Run time of each job's tasks and whether they fail.
     pub work: IndexMap<JobKey, (TimeSpan, bool)>,
     at: ClockTime,
@@ -176,6 +181,7 @@
             judge: BatchJudge::default(),
             workers: IndexMap::new(),
             urgent: IndexSet::new(),
+            owners: IndexMap::new(),
             work: IndexMap::new(),
             at: START,
             daemons: daemons.collect(),
@@ -188,7 +194,7 @@
             rng: Rng::with_seed(seed),
             trace: None,
         };
-        world.configure(1);
+        world.configure(1, IndexMap::new());
         for number in 0..workers {
             world.add_worker(number);
         }
@@ -300,7 +306,21 @@
         self.judge.finish(&shown, MAX_ATTEMPTS);
     }
 
-    fn configure(&mut self, version: u64) {
+    /// Publishes teams with the accelerators that are guaranteed to them. A team's key is its name.
+    pub fn set_teams(&mut self, guarantees: &[(&str, u64)]) {
+        let team = |(name, guaranteed_gpu): &(&str, u64)| {
+            let config = TeamConfig {
+                name: (*name).into(),
+                keys: vec![KeyDigest::of(name)],
+                guaranteed_gpu: *guaranteed_gpu,
+            };
+            (config.name.clone(), config)
+        };
+        self.configure(2, guarantees.iter().map(team).collect());
+        self.wake_reads();
+    }
+
+    fn configure(&mut self, version: u64, teams: IndexMap<TeamName, TeamConfig>) {
         let queue = |(priority, prefix): (u32, &&str)| QueueConfig {
             name: (*prefix).into(),
             host: HOST.to_owned(),
@@ -315,7 +335,7 @@
         let catalog = QueueCatalog {
             version,
             queues: (0..).zip(&PREFIXES).map(queue).collect(),
-            teams: IndexMap::new(),
+            teams,
         };
         let change = StreamChange::Catalog(Box::new(catalog));
         self.store
@@ -370,10 +390,11 @@
         let caller = CallerId(self.last_caller);
         self.calls.insert((daemon, caller), (job, is_submission));
         let prefix = PREFIXES[usize::from(!self.urgent.contains(&job))];
+        let owner = self.owners.get(&job);
         let call = QueueCall {
             host: HOST.to_owned(),
             path: format!("{prefix}{}", job.text()),
-            credential: None,
+            credential: owner.map(|team| KeyDigest::of(team.as_str())),
             timeout: Some(TimeSpan(3_000)),
             action,
         };
--- /dev/null
+++ b/standin/tests/batch_guarantee.rs
@@ -0,0 +1,96 @@
+//! Urgent work of teams that hold guarantees, beside teams that use more than theirs.
+
+// Each test program uses some of the shared parts.
+#[allow(dead_code)]
+mod worlds;
+
+use mustardpath_core::units::TimeSpan;
+use mustardpath_standin::batch::world::BatchWorld;
+
+/// Time in which all tasks of an urgent job within its team's guarantee must have begun, as the
+/// settings of the worlds say.
+const RECLAIM: TimeSpan = TimeSpan(2_700);
+
+/// Waves of a burst, each of which asks for six times the work that is done until the next one.
+const WAVES: u64 = 12;
+
+/// Jobs of a wave.
+const WAVE_JOBS: u64 = 12;
+
+/// Time between two waves. All that follow the second one take [`RECLAIM`] together.
+const WAVE_GAP: TimeSpan = TimeSpan(RECLAIM.0 / (WAVES - 1));
+
+/// Returns a world of 16 accelerators of which two teams hold 8 each.
+fn shared_world(seed: u64) -> BatchWorld {
+    let mut world = worlds::world(seed, 3, 4);
+    world.set_teams(&[("seals", 8), ("sands", 8)]);
+    world.advance(TimeSpan(1_500));
+    world.trace = Some(Vec::new());
+    world
+}
+
+/// Hands in an urgent job of a team whose tasks take one accelerator each.
+fn submit_urgent(world: &mut BatchWorld, team: &str, number: u64, tasks: u32, run_time: TimeSpan) {
+    let key = worlds::key(number);
+    world.urgent.insert(key);
+    world.owners.insert(key, team.into());
+    world.work.insert(key, (run_time, false));
+    let mut step = worlds::step(tasks, 1);
+    step.estimate = run_time;
+    world.submit(0, key, worlds::job(vec![step]));
+}
+
+fn started(world: &BatchWorld, number: u64) -> usize {
+    let run = format!("run={}", worlds::key(number).text());
+    let lines = world.trace.as_deref().unwrap_or_default();
+    let started = lines.iter();
+    let started = started.filter(|line| line.contains(&run) && line.contains("outcome=started"));
+    started.count()
+}
+
+/// Guards against urgent work within its team's guarantee that waits for the end of urgent work
+/// by which another team uses more than its own (issue 17, RECLAIM).
+#[test]
+fn urgent_work_within_its_guarantee_reclaims_accelerators_lent_to_another_team() {
+    for seed in 0..10 {
+        let mut world = shared_world(seed);
+        for number in 1..=4 {
+            submit_urgent(&mut world, "sands", number, 4, TimeSpan(30_000));
+            world.advance(TimeSpan(50));
+        }
+        world.advance(TimeSpan(1_000));
+        assert_eq!(world.judge.starts, 16, "seed {seed}");
+        submit_urgent(&mut world, "seals", 5, 8, TimeSpan(1_000));
+        world.advance(RECLAIM);
+        assert_eq!(started(&world, 5), 8, "seed {seed}: {:#?}", world.trace);
+        // The jobs within the other team's guarantee go on.
+        for number in [1, 2] {
+            let stopped = format!("run={}.0.0.0/1", worlds::key(number).text());
+            let lines = world.trace.iter().flatten();
+            let mut stops = lines.filter(|line| line.contains("outcome=stopping"));
+            assert!(!stops.any(|line| line.contains(&stopped)), "seed {seed}");
+        }
+        assert!(world.judge.broken.is_empty(), "{:#?}", world.judge.broken);
+    }
+}
+
+/// Guards against a burst of one team's urgent work that stands in the queue before urgent work
+/// within another team's guarantee (issue 17, RECLAIM).
+#[test]
+fn urgent_work_within_its_guarantee_goes_before_a_burst_of_another_team() {
+    for seed in 0..10 {
+        let mut world = shared_world(seed);
+        for wave in 0..WAVES {
+            for number in 0..WAVE_JOBS {
+                let number = 100 + wave * WAVE_JOBS + number;
+                submit_urgent(&mut world, "sands", number, 4, TimeSpan(500));
+            }
+            if wave == 1 {
+                submit_urgent(&mut world, "seals", 1, 8, TimeSpan(6_000));
+            }
+            world.advance(WAVE_GAP);
+        }
+        assert_eq!(started(&world, 1), 8, "seed {seed}: {:#?}", world.trace);
+        assert!(world.judge.broken.is_empty(), "{:#?}", world.judge.broken);
+    }
+}
