Spend less of the planner's time on units that cannot be placed

Cause: for each waiting urgent unit that wants one rack, the choice of runs to stop copied the room of all workers once for each rack, also where no choice could succeed; racks were told apart by comparing each with all others; and rounds followed each other after 20 ms however long they were.

Change: sums of what is free and of what may be stopped turn most units away at once; a rack is tried only if stopping everything there makes enough room; rooms come rack by rack, so one comparison each tells them apart; the gap between rounds grows by 1 ms for 32 waiting units.

--- a/core/src/batch/evict.rs
+++ b/core/src/batch/evict.rs
@@ -57,22 +57,39 @@
 ) -> Option<EvictionPlan> {
     let victims = victims(candidates);
     let by_place = victims_by_place(rooms.len(), &victims);
+    let most = most_tasks(rooms, candidates, step);
+    let can_hold = |places: &[usize]| places.iter().map(|&place| most[place]).sum::<u64>() >= count;
     let wants_rack = step.affinity.is_some() || (step.gang && step.rack_sensitive);
     let mut best: Option<EvictionPlan> = None;
     if wants_rack {
         for (rack, places) in placement::by_rack(rooms) {
-            if step.affinity.as_ref().is_some_and(|wished| wished != rack) {
+            let is_wished = step.affinity.as_ref().is_none_or(|wished| wished == rack);
+            if !is_wished || !can_hold(&places) {
                 continue;
             }
-            let plan = fill(rooms, &victims, &by_place, step, &places, count);
-            best = match (best, plan) {
-                (Some(best), Some(plan)) if plan.cost >= best.cost => Some(best),
-                (best, plan) => plan.or(best),
-            };
+            let limit = best.as_ref().map(|best| best.cost);
+            let plan = fill(rooms, &victims, &by_place, step, &places, count, limit);
+            best = plan.or(best);
         }
     }
     let all: Vec<usize> = (0..rooms.len()).collect();
-    best.or_else(|| fill(rooms, &victims, &by_place, step, &all, count))
+    if best.is_some() || !can_hold(&all) {
+        return best;
+    }
+    fill(rooms, &victims, &by_place, step, &all, count, None)
+}
+
+/// Returns how many tasks of the step would fit on each worker if all candidates were stopped.
+fn most_tasks(
+    rooms: &[WorkerRoom<'_>],
+    candidates: &[EvictionCandidate],
+    step: &StepDefinition,
+) -> Vec<u64> {
+    let mut rooms = rooms.to_vec();
+    for candidate in candidates {
+        rooms[candidate.place].free.add(&candidate.demand);
+    }
+    rooms.iter().map(|room| room.count(step)).collect()
 }
 
 fn victims(candidates: &[EvictionCandidate]) -> Vec<EvictionVictim<'_>> {
@@ -143,7 +160,8 @@
     }
 }
 
-/// Stops the victims that make the most room for their cost, until all tasks fit.
+/// Stops the victims that make the most room for their cost, until all tasks fit. Gives up when
+/// that costs `limit` or more.
 fn fill(
     rooms: &[WorkerRoom<'_>],
     victims: &[EvictionVictim<'_>],
@@ -151,6 +169,7 @@
     step: &StepDefinition,
     places: &[usize],
     count: u64,
+    limit: Option<u64>,
 ) -> Option<EvictionPlan> {
     let mut room = FreedRoom::new(rooms, places, step);
     let mut is_stopped = vec![false; victims.len()];
@@ -177,11 +196,15 @@
         fitting = room.count();
     }
     prune(&mut room, victims, &mut stopped, count);
+    let cost = stopped.iter().map(|&victim| victims[victim].cost).sum();
+    if limit.is_some_and(|limit| cost >= limit) {
+        return None;
+    }
     let members = stopped.iter().flat_map(|&victim| &victims[victim].members);
     Some(EvictionPlan {
         places: room.places(count),
         runs: members.map(|member| member.run).collect(),
-        cost: stopped.iter().map(|&victim| victims[victim].cost).sum(),
+        cost,
     })
 }
 
--- a/core/src/batch/mod.rs
+++ b/core/src/batch/mod.rs
@@ -27,6 +27,7 @@
 pub mod settings;
 pub mod state;
 mod step;
+mod stoppable;
 pub mod tail;
 pub mod term;
 pub mod unit;
--- a/core/src/batch/placement.rs
+++ b/core/src/batch/placement.rs
@@ -152,15 +152,14 @@
     })
 }
 
-/// Returns the places of each rack. Rooms that come rack by rack are told apart fastest.
+/// Returns the places of each rack. The rooms have to come rack by rack.
 #[must_use]
 pub fn by_rack<'a>(rooms: &[WorkerRoom<'a>]) -> Vec<(&'a RackName, Vec<usize>)> {
     let mut racks: Vec<(&RackName, Vec<usize>)> = Vec::new();
     for (place, room) in rooms.iter().enumerate() {
-        let known = racks.iter_mut().rev().find(|(rack, _)| *rack == room.rack);
-        match known {
-            Some((_, places)) => places.push(place),
-            None => racks.push((room.rack, vec![place])),
+        match racks.last_mut() {
+            Some((rack, places)) if *rack == room.rack => places.push(place),
+            _ => racks.push((room.rack, vec![place])),
         }
     }
     racks
--- a/core/src/batch/room.rs
+++ b/core/src/batch/room.rs
@@ -44,6 +44,8 @@
 pub struct RoomTable<'a> {
     rows: Vec<RoomRow<'a>>,
     places: IndexMap<&'a WorkerName, usize>,
+    /// What the workers of each service have left together.
+    free: IndexMap<&'a ServiceName, TaskDemand>,
 }
 
 /// The workers that are open to one unit.
@@ -84,12 +86,23 @@
         rows.sort_by_key(|row| row.room.rack);
         let places = rows.iter().enumerate();
         let places = places.map(|(place, row)| (row.room.worker, place));
+        let mut free: IndexMap<&ServiceName, TaskDemand> = IndexMap::new();
+        for row in &rows {
+            free.entry(row.service).or_default().add(&row.room.free);
+        }
         Self {
             places: places.collect(),
             rows,
+            free,
         }
     }
 
+    /// Returns what the workers of a service have left together, kept room included.
+    #[must_use]
+    pub fn free_of(&self, service: &ServiceName) -> TaskDemand {
+        self.free.get(service).copied().unwrap_or_default()
+    }
+
     /// Returns the workers of the unit's service.
     #[must_use]
     pub fn view(&self, unit: &WaitingUnit<'_>) -> UnitView<'a> {
@@ -122,8 +135,13 @@
 
     /// Takes away what was placed on a worker.
     pub fn place(&mut self, worker: &WorkerName, step: &StepDefinition) {
-        if let Some(row) = self.row_mut(worker) {
-            row.room.free.take(&step.room());
+        let Some(row) = self.row_mut(worker) else {
+            return;
+        };
+        row.room.free.take(&step.room());
+        let service = row.service;
+        if let Some(free) = self.free.get_mut(service) {
+            free.take(&step.room());
         }
     }
 
--- a/core/src/batch/round.rs
+++ b/core/src/batch/round.rs
@@ -12,6 +12,7 @@
 use crate::batch::job::JobKey;
 use crate::batch::job::RunKey;
 use crate::batch::job::StepKey;
+use crate::batch::job::TaskDemand;
 use crate::batch::job::TaskKey;
 use crate::batch::life::RunPhase;
 use crate::batch::life::RunSlot;
@@ -24,6 +25,7 @@
 use crate::batch::room::RoomTable;
 use crate::batch::room::UnitView;
 use crate::batch::state::BatchState;
+use crate::batch::stoppable::StoppableRoom;
 use crate::batch::unit;
 use crate::batch::unit::UnitPatience;
 use crate::batch::unit::WaitingUnit;
@@ -39,9 +41,13 @@
 /// Longest time that a new planner waits for the lists of all workers.
 const LISTING_WAIT: TimeSpan = TimeSpan(250);
 
-/// Time between two rounds while units wait for room. A round costs more the more of them wait.
+/// Time between two rounds while units wait for room.
 const BACKLOG_GAP: TimeSpan = TimeSpan(20);
 
+/// Waiting units for which the gap between two rounds grows by 1 ms. A round costs more the more of
+/// them wait, and the planner has other things to do.
+const UNITS_PER_GAP: usize = 32;
+
 /// Time for which a unit may wait for a better place while most of the room is free.
 const IDLE_PATIENCE: TimeSpan = TimeSpan(1_500);
 
@@ -80,6 +86,8 @@
     misses: MissTable<'a>,
     /// What it costs to stop a member of each gang, once that was asked for.
     gang_costs: OnceCell<IndexMap<StepKey, u64>>,
+    /// What urgent units may take from other runs, once that was asked for.
+    stoppable: OnceCell<StoppableRoom<'a>>,
     plan: RoundPlan,
 }
 
@@ -100,16 +108,20 @@
         .retain(|_, claim| at.since(claim.since) < CLAIM_TIME);
     let plan = decide(state, at);
     if let Some(planner) = &mut state.planner {
-        let gap = if plan.waiting > 0 {
-            BACKLOG_GAP
-        } else {
-            TimeSpan(0)
-        };
-        planner.next_round = at + gap;
+        planner.next_round = at + round_gap(plan.waiting);
     }
     enact::enact(state, plan, context);
 }
 
+/// Returns the time until the next round while some units go on waiting.
+fn round_gap(waiting: usize) -> TimeSpan {
+    if waiting == 0 {
+        return TimeSpan(0);
+    }
+    let longer = u64::try_from(waiting / UNITS_PER_GAP).unwrap_or(u64::MAX);
+    BACKLOG_GAP + TimeSpan(longer)
+}
+
 /// A planner that has just taken over waits for the workers' lists. Otherwise it would crowd its
 /// work onto the few that answered first, and stop other work there to make room.
 fn knows_workers(planner: &PlannerState, at: ClockTime) -> bool {
@@ -143,6 +155,7 @@
         table: RoomTable::new(state, planner, at),
         misses: MissTable::default(),
         gang_costs: OnceCell::new(),
+        stoppable: OnceCell::new(),
         plan: RoundPlan::default(),
     };
     // A claim on lent accelerators holds nothing back from units within a guarantee.
@@ -173,12 +186,16 @@
 /// Places a unit, or makes room for it if it is urgent. Tells whether any task was placed.
 fn plan_unit<'a>(round: &mut RoundContext<'a>, unit: &WaitingUnit<'a>) -> bool {
     let planner = round.planner;
+    let is_urgent = unit.definition.priority == 0;
+    let free = round.table.free_of(&unit.definition.service);
+    if !has_volume(unit, &free, unit.least()) && !(is_urgent && may_make_room(round, unit, free)) {
+        return false;
+    }
     let claim = planner.claims.get(&unit.key);
     if let Some(claim) = claim {
         round.table.lend(&claim.workers, unit.step);
     }
     let has_failures = planner.failed_places.contains_key(&unit.key);
-    let is_urgent = unit.definition.priority == 0;
     let may_share = claim.is_none() && !has_failures;
     let patience = patience(round, unit);
     if may_share && round.misses.is_hopeless(unit, patience) {
@@ -213,6 +230,21 @@
     false
 }
 
+/// Tells whether `count` tasks of a unit take no more than the room, wherever it is.
+fn has_volume(unit: &WaitingUnit<'_>, room: &TaskDemand, count: u64) -> bool {
+    unit.step.room().times_in(room) >= count
+}
+
+/// Tells whether stops could make enough room for an urgent unit, as far as the sums tell.
+fn may_make_room(round: &RoundContext<'_>, unit: &WaitingUnit<'_>, free: TaskDemand) -> bool {
+    let stoppable = round
+        .stoppable
+        .get_or_init(|| StoppableRoom::new(round.planner, round.covered));
+    let mut room = free;
+    room.add(&stoppable.of(unit));
+    has_volume(unit, &room, unit.members.len() as u64)
+}
+
 /// Returns how long a unit may go on waiting for a better place.
 fn patience(round: &RoundContext<'_>, unit: &WaitingUnit<'_>) -> UnitPatience {
     let at = round.at;
--- a/core/src/batch/unit.rs
+++ b/core/src/batch/unit.rs
@@ -84,6 +84,16 @@
         }
     }
 
+    /// Returns the number of tasks that have to find room together.
+    #[must_use]
+    pub const fn least(&self) -> u64 {
+        if self.step.gang {
+            self.step.count as u64
+        } else {
+            1
+        }
+    }
+
     /// Returns the last moment at which a start at full speed meets the objective.
     #[must_use]
     pub fn latest_start(&self) -> ClockTime {
