--- a/core/src/batch/round.rs
+++ b/core/src/batch/round.rs
@@ -188,7 +188,8 @@
     let planner = round.planner;
     let is_urgent = unit.definition.priority == 0;
     let free = round.table.free_of(&unit.definition.service);
-    if !has_volume(unit, &free, unit.least()) && !(is_urgent && may_make_room(round, unit, free)) {
+    let has_volume = has_volume(unit, &free, unit.least());
+    if !has_volume && (!is_urgent || !may_make_room(round, unit, free)) {
         return false;
     }
     let claim = planner.claims.get(&unit.key);
