Give the hold of a silent worker more time than the one before it

Tasks that had ended as done, or were running, were begun again elsewhere.

Cause: each hold had 600 ms for its answer. While a link is full, answers come later than that, so all holds of a worker time out although each reaches it. Holds after the first failure do not renew the lease, so that the lease of a lost worker has a known end; after 6 s it lapses and the runs are given up. The worker has listed their ends meanwhile, in answers that nobody waited for.

Change: after a hold without an answer, the next ones have 1.2 s. A worker that is gone is not noticed later, since its lease runs from the last hold that asked for one.

workers_whose_answers_come_late_keep_their_leases failed before (16 starts of 8 tasks).

--- a/core/src/batch/orders.rs
+++ b/core/src/batch/orders.rs
@@ -39,6 +39,10 @@
 /// Time for an answer of a worker beyond the wait that was asked for.
 const ORDER_TIME: TimeSpan = TimeSpan(600);
 
+/// Time for an answer of a worker whose last hold was not answered. A link that is full looks like
+/// a worker that is silent, and runs are lost with their lease.
+const SECOND_TIME: TimeSpan = TimeSpan(1_200);
+
 /// Wait before a hold that failed is sent again.
 const HOLD_RETRY: TimeSpan = TimeSpan(150);
 
@@ -229,7 +233,7 @@
         wait,
     };
     life.hold.sent = Some(context.at);
-    let timeout = wait + ORDER_TIME;
+    let timeout = wait + if is_heard { ORDER_TIME } else { SECOND_TIME };
     send(planner, worker, OrderKind::Hold, order, timeout, context);
 }
 
--- a/standin/src/batch/world.rs
+++ b/standin/src/batch/world.rs
@@ -82,6 +82,8 @@
     pub deaf_daemons: IndexSet<usize>,
     /// Workers that no daemon reaches and that do not reach the store.
     pub cut_workers: IndexSet<WorkerName>,
+    /// Time that each order takes to its worker, beyond the usual one.
+    pub order_delay: TimeSpan,
 }
 
 /// A process of a daemon.
--- a/standin/src/batch/world/delivery.rs
+++ b/standin/src/batch/world/delivery.rs
@@ -145,7 +145,7 @@
             answers: true,
             born,
         };
-        let mut delay = self.delay();
+        let mut delay = self.delay() + self.faults.order_delay;
         // An answer that comes earlier makes this one meaningless.
         let input = BatchInput::Order {
             call,
--- a/standin/tests/batch_faults.rs
+++ b/standin/tests/batch_faults.rs
@@ -211,3 +211,22 @@
     assert_eq!(world.phase(worlds::key(2)), Some(JobPhase::Completed));
     check(&world);
 }
+
+/// Guards against runs that are given up and begun again because the answers of their workers come
+/// a little later than usual, over a link that is full (bench: tlr-bench-grown hunt-0153-7, TWICE).
+#[test]
+fn workers_whose_answers_come_late_keep_their_leases() {
+    let mut world = worlds::world(9, 3, 4);
+    world.trace = Some(Vec::new());
+    world.work.insert(worlds::key(1), (TimeSpan(15_000), false));
+    world.submit(0, worlds::key(1), worlds::job(vec![worlds::step(8, 1)]));
+    world.advance(TimeSpan(1_000));
+    assert_eq!(world.judge.starts, 8);
+    world.faults.order_delay = TimeSpan(900);
+    world.advance(TimeSpan(14_000));
+    world.faults.order_delay = TimeSpan(0);
+    world.advance(TimeSpan(4_000));
+    assert_eq!(world.judge.starts, 8, "{:#?}", world.trace);
+    assert_eq!(world.phase(worlds::key(1)), Some(JobPhase::Completed));
+    check(&world);
+}
