Count a worker with a run of unknown size as full

Cause: a run that only the worker's list tells of was given the whole capacity of the worker, taken from its entry. When the list came while the entry was gone (its failure domain had been cut off from the store), the run counted as taking nothing, and stayed so when the entry came back.

Change: a worker with such a run has no room until it is gone, whatever is known of its capacity. A new life keeps the mark until its first list.

a_worker_with_a_run_of_unknown_size_has_no_room failed before. All tests of core and stand-ins pass.

--- a/core/src/batch/ends.rs
+++ b/core/src/batch/ends.rs
@@ -1,6 +1,7 @@
 //! Lists of workers: runs that began, ended or never were.
 
 use crate::batch::job::RunKey;
+use crate::batch::job::TaskDemand;
 use crate::batch::life::RunPhase;
 use crate::batch::life::RunSlot;
 use crate::batch::message::EndedRow;
@@ -67,9 +68,8 @@
     }
     let line = format!("run={} worker={worker} outcome=foreign", row.run);
     context.warn(LogPart::Gang, line);
-    let capacity = life.entry.as_ref().map(|entry| entry.capacity);
     let slot = RunSlot {
-        demand: capacity.unwrap_or_default(),
+        demand: TaskDemand::default(),
         priority: 0,
         team: None,
         gang: false,
--- a/core/src/batch/life.rs
+++ b/core/src/batch/life.rs
@@ -167,7 +167,7 @@
             entry.born = born;
         }
         for slot in next.runs.values_mut() {
-            if matches!(slot.phase, RunPhase::Running | RunPhase::Foreign) {
+            if slot.phase == RunPhase::Running {
                 slot.phase = RunPhase::Inherited;
             }
             slot.stop = None;
@@ -205,9 +205,13 @@
         first.map_or(self.taken, |first| first - 1)
     }
 
-    /// Returns the room that is left.
+    /// Returns the room that is left: none beside a run of which only the worker's list is known.
     #[must_use]
     pub fn free(&self) -> TaskDemand {
+        let mut slots = self.runs.values();
+        if slots.any(|slot| slot.phase == RunPhase::Foreign) {
+            return TaskDemand::default();
+        }
         let mut room = self
             .entry
             .as_ref()
--- /dev/null
+++ b/core/tests/batch_life.rs
@@ -0,0 +1,76 @@
+//! Workers as the planner sees them.
+
+use mustardpath_core::batch::job::JobKey;
+use mustardpath_core::batch::job::RunKey;
+use mustardpath_core::batch::job::StepKey;
+use mustardpath_core::batch::job::TaskDemand;
+use mustardpath_core::batch::job::TaskKey;
+use mustardpath_core::batch::job::WorkerCondition;
+use mustardpath_core::batch::job::WorkerEntry;
+use mustardpath_core::batch::life::RunPhase;
+use mustardpath_core::batch::life::RunSlot;
+use mustardpath_core::batch::life::WorkerLife;
+use mustardpath_core::units::ClockTime;
+use mustardpath_core::units::TimeSpan;
+
+const WHOLE: TaskDemand = TaskDemand {
+    cpu: 32_000,
+    memory: 64_000,
+    gpu: 8,
+};
+
+fn entry() -> WorkerEntry {
+    WorkerEntry {
+        service: "s".into(),
+        address: "127.0.0.1:1".into(),
+        domain: "d0".into(),
+        condition: WorkerCondition::Ready,
+        capacity: WHOLE,
+        labels: Vec::new(),
+        rack: "r0".into(),
+        born: 1,
+        remaining: None,
+    }
+}
+
+/// Returns a run that the planner knows only from the worker's list.
+fn foreign() -> RunSlot {
+    RunSlot {
+        demand: TaskDemand::default(),
+        priority: 0,
+        team: None,
+        gang: false,
+        phase: RunPhase::Foreign,
+        since: ClockTime(5),
+        placed: ClockTime(5),
+        expected: TimeSpan(0),
+        percent: 0,
+        sendings: 0,
+        unclear: false,
+        evicted: true,
+        stop: None,
+        checkpoint: String::new(),
+    }
+}
+
+/// Guards against starts beside a run of unknown size, which was listed while the worker's entry,
+/// and with it the worker's capacity, was gone (bench: cordillera-pista-grown, the day of zones,
+/// LIMIT).
+#[test]
+fn a_worker_with_a_run_of_unknown_size_has_no_room() {
+    let step = StepKey {
+        job: JobKey(1),
+        occurrence: 0,
+        step: 0,
+    };
+    let run = RunKey {
+        task: TaskKey { step, index: 0 },
+        attempt: 1,
+    };
+    let mut life = WorkerLife::new(1, ClockTime(0));
+    life.runs.insert(run, foreign());
+    life.entry = Some(entry());
+    assert_eq!(life.free(), TaskDemand::default());
+    life.runs.swap_remove(&run);
+    assert_eq!(life.free(), WHOLE);
+}
