--- a/core/src/batch/orders.rs
+++ b/core/src/batch/orders.rs
@@ -41,7 +41,7 @@
 
 /// Time for an answer of a worker whose last hold was not answered. A link that is full looks like
 /// a worker that is silent, and runs are lost with their lease.
-const SECOND_TIME: TimeSpan = TimeSpan(1_200);
+const SILENT_ORDER_TIME: TimeSpan = TimeSpan(1_200);
 
 /// Wait before a hold that failed is sent again.
 const HOLD_RETRY: TimeSpan = TimeSpan(150);
@@ -233,7 +233,12 @@
         wait,
     };
     life.hold.sent = Some(context.at);
-    let timeout = wait + if is_heard { ORDER_TIME } else { SECOND_TIME };
+    let timeout = wait
+        + if is_heard {
+            ORDER_TIME
+        } else {
+            SILENT_ORDER_TIME
+        };
     send(planner, worker, OrderKind::Hold, order, timeout, context);
 }
 
