Play urgent jobs of teams with guarantees in the interleavings

Half of the jobs are now urgent and belong to one of two teams with 8 and 12 of 32 accelerators. Two faults are new: a daemon whose reads fail while its appends do not, and orders that take 900 ms to their workers.

No change of the product.

--- a/standin/tests/batch_interleavings.rs
+++ b/standin/tests/batch_interleavings.rs
@@ -29,6 +29,12 @@
 /// Workers of a world.
 const WORKERS: u32 = 8;
 
+/// Teams with the accelerators that are guaranteed to them, of 32.
+const TEAMS: [(&str, u64); 2] = [("seals", 8), ("sands", 12)];
+
+/// Time that an order takes to its worker over a full link.
+const FULL_LINK: TimeSpan = TimeSpan(900);
+
 /// Time after the last fault by which all work must be done.
 const SETTLE_TIME: TimeSpan = TimeSpan(90_000);
 
@@ -53,7 +59,7 @@
 fn fault(world: &mut BatchWorld, rng: &mut Rng) {
     let daemon = rng.usize(0..DAEMONS);
     let worker = some_worker(rng);
-    match rng.u32(0..19) {
+    match rng.u32(0..21) {
         0 => world.kill(daemon),
         1 => (0..DAEMONS).for_each(|daemon| world.kill(daemon)),
         2 => world.freeze(daemon, true),
@@ -95,10 +101,16 @@
                 model.mood = mood;
             }
         }
+        18 => {
+            world.faults.deaf_daemons.insert(daemon);
+        }
+        19 => world.faults.order_delay = FULL_LINK,
         _ => {
             world.faults.store_down = false;
             world.faults.cut_daemons.clear();
+            world.faults.deaf_daemons.clear();
             world.faults.cut_workers.clear();
+            world.faults.order_delay = TimeSpan(0);
             (0..DAEMONS).for_each(|daemon| world.start(daemon));
         }
     }
@@ -107,6 +119,7 @@
 fn play(seed: u64, tracing: bool) -> (Vec<String>, Vec<String>) {
     let mut rng = Rng::with_seed(seed);
     let mut world = worlds::world(seed, DAEMONS, WORKERS);
+    world.set_teams(&TEAMS);
     if tracing {
         world.trace = Some(Vec::new());
     }
@@ -119,6 +132,11 @@
                 let work = TimeSpan(rng.u64(200..4_000));
                 world.work.insert(job, (work, rng.u32(0..20) == 0));
                 jobs.push(job);
+                if rng.bool() {
+                    let (team, _) = TEAMS[rng.usize(0..TEAMS.len())];
+                    world.urgent.insert(job);
+                    world.owners.insert(job, team.into());
+                }
                 let draft = draw_job(&mut rng);
                 world.submit(rng.usize(0..DAEMONS), job, draft.clone());
                 // The same submission comes again through another daemon.
