Store the records of a gang in one append

Callers see a gang of which a part runs and ends alone, without any disturbance of the workers.

Cause: an append took 400 records, wherever that cut. A round that places more than that could have the first members of a gang on record, and started, while the others waited for the next append. If the planner then loses its term, the other append is refused; the successor finds some members placed and the others waiting, keeps the placed ones as wanted work and never places the rest, because a gang is placed only while all of it waits. The part ends alone after the gang timeout. The class: a change that is one in meaning is two in the log.

Change: records that belong together are joined; a batch ends only where the next record is not joined to the one before it. Appends are all or nothing at the store, so a successor finds the placements of a gang, and its ends, whole or not at all. enact.rs carries out a step at a time.

--- a/core/src/batch/enact.rs
+++ b/core/src/batch/enact.rs
@@ -3,7 +3,7 @@
 use indexmap::IndexMap;
 use indexmap::IndexSet;
 
-use crate::batch::job::JobKey;
+use crate::batch::book::JobEntry;
 use crate::batch::job::JobPhase;
 use crate::batch::job::RunKey;
 use crate::batch::job::StepKey;
@@ -14,7 +14,6 @@
 use crate::batch::overdue;
 use crate::batch::planner;
 use crate::batch::record::BatchRecord;
-use crate::batch::record::TaskNote;
 use crate::batch::record::TaskState;
 use crate::batch::record::WorkerLifeKey;
 use crate::batch::room::RoomClaim;
@@ -25,6 +24,9 @@
 use crate::effect::LogPart;
 use crate::ids::WorkerName;
 
+/// Tasks of one step with the workers that they go to.
+type StepPlaces = Vec<(TaskKey, WorkerName)>;
+
 /// What all members of a gang start with.
 #[derive(Clone, Debug, Default)]
 struct GangStart {
@@ -34,20 +36,12 @@
 
 /// Carries out what a round has decided.
 pub fn enact(state: &mut BatchState, plan: RoundPlan, context: &mut StepContext<'_>) {
-    let mut gangs: IndexMap<StepKey, GangStart> = IndexMap::new();
-    for (task, _) in &plan.placements {
-        let entry = state.book.jobs.get(&task.step.job);
-        let note = entry.and_then(|entry| entry.note(task));
-        let gang = gangs.entry(task.step).or_default();
-        gang.attempt = gang.attempt.max(note.map_or(0, |note| note.attempt) + 1);
-        let saved = note.map_or("", |note| note.checkpoint.as_str());
-        if gang.checkpoint.is_empty() {
-            saved.clone_into(&mut gang.checkpoint);
-        }
-    }
+    let mut steps: IndexMap<StepKey, StepPlaces> = IndexMap::new();
     for (task, worker) in plan.placements {
-        let gang = gangs.get(&task.step).cloned().unwrap_or_default();
-        place(state, task, &worker, gang, context);
+        steps.entry(task.step).or_default().push((task, worker));
+    }
+    for (step, places) in &steps {
+        place_step(state, *step, places, context);
     }
     let at = context.at;
     let Some(planner) = &mut state.planner else {
@@ -72,62 +66,79 @@
     }
 }
 
-fn place(
+fn place_step(
     state: &mut BatchState,
-    task: TaskKey,
-    worker: &WorkerName,
-    gang: GangStart,
+    key: StepKey,
+    places: &[(TaskKey, WorkerName)],
     context: &mut StepContext<'_>,
 ) {
-    let job: JobKey = task.step.job;
-    let Some(entry) = state.book.jobs.get(&job) else {
+    let Some(entry) = state.book.jobs.get(&key.job) else {
         return;
     };
     let Some(definition) = entry.open_definition() else {
         return;
     };
-    let Some(step) = definition.draft.steps.get(task.step.step as usize) else {
+    let Some(step) = definition.draft.steps.get(key.step as usize) else {
         return;
     };
     let Some(planner) = &mut state.planner else {
         return;
     };
-    let Some(born) = planner.workers.get(worker).map(|life| life.born) else {
-        return;
-    };
-    let note = entry.note(&task).cloned().unwrap_or_default();
-    let (attempt, checkpoint) = if step.gang {
-        (gang.attempt, gang.checkpoint)
+    let gang = step.gang.then(|| gang_start(entry, places));
+    let waited = context.at.since(definition.accepted_at);
+    let mut notes = Vec::new();
+    planner.claims.swap_remove(&key);
+    for (task, worker) in places {
+        let Some(born) = planner.workers.get(worker).map(|life| life.born) else {
+            continue;
+        };
+        let mut note = entry.note(task).cloned().unwrap_or_default();
+        note.attempt += 1;
+        if let Some(gang) = &gang {
+            note.attempt = gang.attempt;
+            gang.checkpoint.clone_into(&mut note.checkpoint);
+        }
+        note.state = TaskState::Placed(WorkerLifeKey {
+            worker: worker.clone(),
+            born,
+        });
+        let run = RunKey {
+            task: *task,
+            attempt: note.attempt,
+        };
+        let slot = planner::new_slot(definition, step, RunPhase::Recorded, context.at);
+        planner.add_slot(worker, run, slot);
+        let line = format!("run={run} worker={worker} outcome=placed waited_ms={waited}");
+        context.info(LogPart::Plan, line);
+        notes.push((*task, note));
+    }
+    if step.gang {
+        planner.record(notes, &mut state.planner_lane);
     } else {
-        (note.attempt + 1, note.checkpoint.clone())
-    };
-    let run = RunKey { task, attempt };
-    let slot = planner::new_slot(definition, step, RunPhase::Recorded, context.at);
-    planner.claims.swap_remove(&task.step);
-    planner.add_slot(worker, run, slot);
-    let life = WorkerLifeKey {
-        worker: worker.clone(),
-        born,
-    };
-    let next = TaskNote {
-        attempt,
-        checkpoint,
-        state: TaskState::Placed(life),
-        ..note
-    };
-    let line = format!(
-        "run={run} worker={worker} outcome=placed waited_ms={}",
-        context.at.since(definition.accepted_at)
-    );
-    context.info(LogPart::Plan, line);
-    planner.record(task, next, &mut state.planner_lane);
-    if entry.phase.is_none() && planner.begun.insert(job) {
+        for note in notes {
+            planner.record(vec![note], &mut state.planner_lane);
+        }
+    }
+    if entry.phase.is_none() && planner.begun.insert(key.job) {
         context.push(ControlEffect::Batch(BatchEffect::Observe {
             stage: JobStage::FirstStart,
             queue: definition.queue.clone(),
-            span: context.at.since(definition.accepted_at),
+            span: waited,
         }));
-        let record = BatchRecord::phase(job, JobPhase::Running);
+        let record = BatchRecord::phase(key.job, JobPhase::Running);
         state.planner_lane.push(record, None);
     }
 }
+
+/// Returns what all members of a gang start with: one attempt, which is new to each of them, and
+/// the checkpoint of any of them.
+fn gang_start(entry: &JobEntry, places: &[(TaskKey, WorkerName)]) -> GangStart {
+    let notes = places.iter().filter_map(|(task, _)| entry.note(task));
+    let last = notes.clone().map(|note| note.attempt).max();
+    let mut saved = notes.map(|note| &note.checkpoint);
+    let checkpoint = saved.find(|checkpoint| !checkpoint.is_empty());
+    GangStart {
+        attempt: last.unwrap_or(0) + 1,
+        checkpoint: checkpoint.cloned().unwrap_or_default(),
+    }
+}
--- a/core/src/batch/outcome.rs
+++ b/core/src/batch/outcome.rs
@@ -74,6 +74,7 @@
         return;
     };
     planner.sweep_due = true;
+    let mut notes = Vec::new();
     for task in tasks {
         let note = planner.newest_note(entry, &task);
         let is_live = planner.live.contains_key(&task);
@@ -100,8 +101,9 @@
         if is_new_failure {
             next.failed.push(run.attempt);
         }
-        planner.record(task, next, &mut state.planner_lane);
+        notes.push((task, next));
     }
+    planner.record(notes, &mut state.planner_lane);
 }
 
 /// Records that a task is done. One end represents all members of a gang.
@@ -112,6 +114,7 @@
     let Some(planner) = &mut state.planner else {
         return;
     };
+    let mut notes = Vec::new();
     for task in tasks {
         let note = planner.newest_note(entry, &task);
         if note.state == TaskState::Done {
@@ -122,8 +125,9 @@
             checkpoint: String::new(),
             ..note
         };
-        planner.record(task, next, &mut state.planner_lane);
+        notes.push((task, next));
     }
+    planner.record(notes, &mut state.planner_lane);
 }
 
 /// Records the end of a job whose tasks are all done or of which one has failed for good.
--- a/core/src/batch/planner.rs
+++ b/core/src/batch/planner.rs
@@ -178,12 +178,23 @@
         planned.or_else(|| entry.note(task))
     }
 
-    /// Sends a task's record on its way.
-    pub fn record(&mut self, task: TaskKey, note: TaskNote, lane: &mut WriteQueue) {
-        let mark = self.marks.entry(task).or_default();
-        mark.records += 1;
-        mark.note = note.clone();
-        lane.push(BatchRecord::task(task, note), None);
+    /// Sends the records of tasks on their way, all of them in one append.
+    ///
+    /// The members of a gang are placed, and leave, in the log as one: a part of it would be left
+    /// to run alone by a successor.
+    pub fn record(&mut self, notes: Vec<(TaskKey, TaskNote)>, lane: &mut WriteQueue) {
+        let mut is_first = true;
+        for (task, note) in notes {
+            let mark = self.marks.entry(task).or_default();
+            mark.records += 1;
+            mark.note = note.clone();
+            let record = BatchRecord::task(task, note);
+            if std::mem::take(&mut is_first) {
+                lane.push(record, None);
+            } else {
+                lane.push_joined(record);
+            }
+        }
     }
 
     /// Removes an order in flight and returns it.
--- a/core/src/batch/writer.rs
+++ b/core/src/batch/writer.rs
@@ -17,7 +17,8 @@
 /// Wait before an append is sent again.
 const RESEND_WAIT: TimeSpan = TimeSpan(60);
 
-/// Most records of one batch. A batch of the largest jobs stays below the store's limit of a call.
+/// Records after which a batch ends, as soon as the next one does not belong to the one before it. A
+/// batch of the largest jobs stays below the store's limit of a call.
 const BATCH_RECORDS: usize = 400;
 
 /// One record that waits, with the caller who waits for it.
@@ -27,6 +28,8 @@
     pub record: BatchRecord,
     /// The caller.
     pub caller: Option<CallerId>,
+    /// Whether it is stored only together with the record before it.
+    pub joined: bool,
 }
 
 /// A batch in flight.
@@ -80,7 +83,22 @@
 
     /// Adds a record.
     pub fn push(&mut self, record: BatchRecord, caller: Option<CallerId>) {
-        self.waiting.push(WaitingRecord { record, caller });
+        self.waiting.push(WaitingRecord {
+            record,
+            caller,
+            joined: false,
+        });
+    }
+
+    /// Adds a record that is stored in the same append as the one that was added before it.
+    ///
+    /// Appends are all or nothing, so a successor never finds a part of such records.
+    pub fn push_joined(&mut self, record: BatchRecord) {
+        self.waiting.push(WaitingRecord {
+            record,
+            caller: None,
+            joined: true,
+        });
     }
 
     /// Returns the number of records that are not stored.
@@ -123,7 +141,9 @@
     pub fn flush(&mut self, lane: WriteLane, context: &mut StepContext<'_>) {
         let at = context.at;
         if self.open.is_none() && !self.waiting.is_empty() {
-            let count = self.waiting.len().min(BATCH_RECORDS);
+            let rest = self.waiting.iter().skip(BATCH_RECORDS);
+            let joined = rest.take_while(|waiting| waiting.joined).count();
+            let count = self.waiting.len().min(BATCH_RECORDS) + joined;
             let records = self.waiting.drain(..count).collect();
             self.next_batch += 2;
             self.open = Some(OpenBatch {
--- a/standin/tests/batch_faults.rs
+++ b/standin/tests/batch_faults.rs
@@ -230,3 +230,30 @@
     assert_eq!(world.phase(worlds::key(1)), Some(JobPhase::Completed));
     check(&world);
 }
+
+/// Guards against a gang of which a part is on record, because the planner lost its term between
+/// two appends: its successor let that part run, and it ended alone (issue 17, GANG).
+#[test]
+fn a_gang_is_recorded_whole_when_the_planner_loses_its_term() {
+    for seed in 0..20 {
+        let mut world = worlds::world(seed, 3, 128);
+        let planner = world.planner().expect("there is a planner");
+        let mut gang = worlds::step(16, 0);
+        gang.gang = true;
+        // The first submission is stored alone; the others are stored, and planned, together.
+        let steps = [worlds::step(1, 0), worlds::step(390, 0), gang];
+        for (number, step) in (0..).zip(steps) {
+            world.submit(planner, worlds::key(number), worlds::job(vec![step]));
+        }
+        while world.judge.starts < 2 {
+            world.advance(TimeSpan(1));
+        }
+        world.faults.cut_daemons.insert(planner);
+        world.advance(TimeSpan(8_000));
+        assert_eq!(world.judge.alone, 0, "seed {seed}");
+        world.faults.cut_daemons.clear();
+        world.advance(TimeSpan(3_000));
+        assert_eq!(world.phase(worlds::key(2)), Some(JobPhase::Completed));
+        check(&world);
+    }
+}
