Read a large configuration in turns and leave out versions between

Cause: each version of the configuration is one record of 250 KB. A long poll brings each of them to all 23 daemons of the far region at the same moment, over a link of 60 Mbit/s, which one version fills for 0.8 s and a series of versions for 40 s. Orders to the workers there and their answers wait behind it; starts time out after 600 ms, gangs are stopped and placed again, leases lapse of workers that are well.

Evidence: the new line "outcome=large_answer" (bytes, records, time).

Change: once an answer of the operators' topic is 64 KB or larger, the daemon reads it every 7/16 of the bound on a new configuration, at a time of its own, without waiting for a record. One that finds more than one version takes the newest records until they bring nothing new. The bound comes from the settings (config_apply). A load of the topic confirms it.

--- a/core/src/batch/message.rs
+++ b/core/src/batch/message.rs
@@ -116,6 +116,10 @@
             records: Vec<StreamRecord>,
             /// The offset that reading continues from.
             next: u64,
+            /// The end of the topic when the answer was made.
+            end: u64,
+            /// Size of the answer in bytes.
+            bytes: u64,
         },
         /// A page of the newest record of each key.
         Newest {
@@ -125,6 +129,8 @@
             after: Option<String>,
             /// The end of the topic when the page was made.
             end: u64,
+            /// Size of the answer in bytes.
+            bytes: u64,
         },
         /// The asked records are gone.
         Expired,
@@ -354,6 +360,8 @@
             from: u64,
             /// Longest wait for a record.
             wait: TimeSpan,
+            /// Size of the answer in kilobytes, which is exceeded for one larger record.
+            page: u32,
             /// Longest time to an answer.
             timeout: TimeSpan,
         },
--- a/core/src/batch/settings.rs
+++ b/core/src/batch/settings.rs
@@ -27,6 +27,10 @@
     #[serde(default = "revocation")]
     #[serde_as(as = "SpanText")]
     pub revocation: TimeSpan,
+    /// Time in which a configuration must be in force.
+    #[serde(default = "config_apply")]
+    #[serde_as(as = "SpanText")]
+    pub config_apply: TimeSpan,
     /// Time in which all tasks of an urgent first step must have begun.
     #[serde(default = "reclaim")]
     #[serde_as(as = "SpanText")]
@@ -49,6 +53,10 @@
     TimeSpan(5_000)
 }
 
+const fn config_apply() -> TimeSpan {
+    TimeSpan(2_500)
+}
+
 const fn reclaim() -> TimeSpan {
     TimeSpan(2_700)
 }
--- a/core/src/batch/step.rs
+++ b/core/src/batch/step.rs
@@ -21,6 +21,7 @@
 use crate::batch::state::BatchState;
 use crate::batch::tail::TailNews;
 use crate::batch::tail::TailPace;
+use crate::batch::tail::TailTurns;
 use crate::batch::term;
 use crate::batch::writer::WriteNews;
 use crate::context::StepContext;
@@ -39,6 +40,17 @@
 /// this much later, and the store is read less often.
 const FOLLOWER_PAUSE: TimeSpan = TimeSpan(100);
 
+/// Size of an answer to a read in kilobytes.
+const PAGE: u32 = 1_024;
+
+/// Size of an answer to a read of the operators' topic in kilobytes. It holds one record of the
+/// largest size, since a reader that finds more than one page goes on with the newest records.
+const OPERATOR_PAGE: u32 = 300;
+
+/// Share of the bound on a new configuration, in sixteenths, after which a daemon reads it again
+/// where it is large. A reader that has fallen behind needs one more read within the bound.
+const TURN_SIXTEENTHS: u64 = 7;
+
 /// Pause between reads of the workers' topic, which changes with every heartbeat.
 const WORKER_PAUSE: TimeSpan = TimeSpan(300);
 
@@ -121,7 +133,8 @@
 fn follow(state: &mut BatchState, context: &mut StepContext<'_>) {
     let pace = batch_pace(state);
     state.batch_tail.follow(pace, context);
-    state.operator_tail.follow(operator_pace(), context);
+    let pace = operator_pace(state);
+    state.operator_tail.follow(pace, context);
     if state.planner.is_some() {
         state.worker_tail.follow(worker_pace(), context);
     }
@@ -136,13 +149,21 @@
     TailPace {
         wait: BATCH_WAIT,
         pause,
+        page: PAGE,
+        turns: None,
     }
 }
 
-const fn operator_pace() -> TailPace {
+fn operator_pace(state: &BatchState) -> TailPace {
+    let interval = TimeSpan(state.settings.config_apply.0 * TURN_SIXTEENTHS / 16);
     TailPace {
         wait: LONG_WAIT,
         pause: TimeSpan(0),
+        page: OPERATOR_PAGE,
+        turns: Some(TailTurns {
+            interval,
+            phase: term::share(&state.daemon, interval),
+        }),
     }
 }
 
@@ -150,6 +171,8 @@
     TailPace {
         wait: LONG_WAIT,
         pause: WORKER_PAUSE,
+        page: PAGE,
+        turns: None,
     }
 }
 
@@ -169,7 +192,8 @@
             }
         }
         StoreStream::Operator => {
-            match state.operator_tail.take(outcome, operator_pace(), context) {
+            let pace = operator_pace(state);
+            match state.operator_tail.take(outcome, pace, context) {
                 TailNews::Nothing => {}
                 TailNews::Loaded(records) => {
                     state.domains_out.clear();
--- a/core/src/batch/tail.rs
+++ b/core/src/batch/tail.rs
@@ -23,6 +23,9 @@
 /// Wait before a failed read is tried again.
 const RETRY_WAIT: TimeSpan = TimeSpan(150);
 
+/// Size of an answer that takes a good part of a link.
+const LARGE_ANSWER: u64 = 64 * 1_024;
+
 /// How a topic is followed.
 #[derive(Clone, Copy, Debug)]
 pub struct TailPace {
@@ -30,6 +33,22 @@
     pub wait: TimeSpan,
     /// Pause between two reads that brought records, so that one read brings several.
     pub pause: TimeSpan,
+    /// Size of an answer in kilobytes.
+    pub page: u32,
+    /// How the topic is read once its records are large, if only the newest one of each key matters.
+    pub turns: Option<TailTurns>,
+}
+
+/// Reading of large records in turns.
+///
+/// A read that waits for a record brings it to all daemons of a region at once, over one link, and
+/// whatever else goes over it has to wait. Daemons that read at times of their own share it.
+#[derive(Clone, Copy, Debug)]
+pub struct TailTurns {
+    /// Time between two reads.
+    pub interval: TimeSpan,
+    /// This daemon's part of the interval, which sets its turns apart from those of others.
+    pub phase: TimeSpan,
 }
 
 /// The state of following one topic.
@@ -38,6 +57,10 @@
     stream: StoreStream,
     next: Option<u64>,
     load: Option<StreamLoad>,
+    /// Whether the last records were large, so that the topic is read in turns.
+    is_large: bool,
+    /// Whether records are left out until a load brings nothing new.
+    catches_up: bool,
     /// Loads in a row that have failed.
     failed_loads: u32,
     asked: Option<ReadMark>,
@@ -57,7 +80,10 @@
 struct StreamLoad {
     records: Vec<StreamRecord>,
     after: Option<String>,
+    /// The topic's end in the first page.
     end: Option<u64>,
+    /// When the first page was asked for.
+    asked: Option<ClockTime>,
 }
 
 /// What a read brought.
@@ -79,6 +105,8 @@
             stream,
             next: None,
             load: None,
+            is_large: false,
+            catches_up: false,
             failed_loads: 0,
             asked: None,
             due: ClockTime(0),
@@ -124,7 +152,10 @@
         if self.asked.is_some() || context.at < self.due {
             return;
         }
-        let wait = if self.is_loading() {
+        if self.catches_up {
+            self.load.get_or_insert_default();
+        }
+        let wait = if self.is_loading() || self.is_large {
             TimeSpan(0)
         } else {
             pace.wait
@@ -138,6 +169,7 @@
                 stream: self.stream,
                 from,
                 wait,
+                page: pace.page,
                 timeout: wait + READ_TIME,
             },
             (_, load) => BatchEffect::ReadNewest {
@@ -159,25 +191,49 @@
         let Some(mark) = self.asked.take() else {
             return TailNews::Nothing;
         };
+        self.note_large(mark, outcome, context);
         match outcome {
-            StreamOutcome::Records { records, next } => {
+            StreamOutcome::Records {
+                records,
+                next,
+                end,
+                bytes,
+            } => {
                 self.answered(mark.at, context);
+                self.next = Some(*next);
                 if records.is_empty() {
                     self.confirm(mark, context.at);
+                    self.due = context.at;
                 } else {
                     self.due = context.at + pace.pause;
                 }
-                self.next = Some(*next);
+                if let Some(turns) = pace.turns {
+                    let size = (!records.is_empty()).then_some(*bytes);
+                    self.take_turn(turns, size, context.at);
+                    if end > next {
+                        self.catches_up = true;
+                        self.due = context.at;
+                    }
+                }
                 TailNews::Changes(records)
             }
             StreamOutcome::Newest {
                 records,
                 after,
                 end,
+                bytes,
             } => {
                 self.answered(mark.at, context);
                 self.round_trip = context.at.since(mark.at);
-                self.take_page(records, after.as_ref(), *end)
+                let load = self.load.get_or_insert_default();
+                let asked = *load.asked.get_or_insert(mark.at);
+                let news = self.take_page(records, after.as_ref(), *end);
+                if let (Some(turns), TailNews::Loaded(_)) = (pace.turns, &news) {
+                    // Each page shows its keys at least as they were when the first was asked for.
+                    self.confirmed = self.confirmed.max(Some(asked));
+                    self.take_turn(turns, Some(*bytes), context.at);
+                }
+                news
             }
             StreamOutcome::Expired => {
                 context.warn(
@@ -206,6 +262,38 @@
         }
     }
 
+    /// Sets the time of the next read of a topic that may be read in turns, after an answer whose
+    /// records have the given size, or after one without records.
+    fn take_turn(&mut self, turns: TailTurns, size: Option<u64>, at: ClockTime) {
+        let was_large = self.is_large;
+        self.is_large = size.map_or(was_large, |size| size >= LARGE_ANSWER);
+        if self.is_large {
+            let wait = if was_large {
+                turns.interval
+            } else {
+                turns.phase
+            };
+            self.due = at + wait;
+        }
+    }
+
+    /// Logs an answer that takes a good part of a link.
+    fn note_large(&self, mark: ReadMark, outcome: &StreamOutcome, context: &mut StepContext<'_>) {
+        let (records, bytes) = match outcome {
+            StreamOutcome::Records { records, bytes, .. }
+            | StreamOutcome::Newest { records, bytes, .. } => (records.len(), *bytes),
+            StreamOutcome::Expired | StreamOutcome::Failed => return,
+        };
+        if bytes >= LARGE_ANSWER {
+            let line = format!(
+                "topic={:?} outcome=large_answer bytes={bytes} records={records} took_ms={}",
+                self.stream,
+                context.at.since(mark.at)
+            );
+            context.info(LogPart::Log, line);
+        }
+    }
+
     /// Tells whether the next read is one of a load.
     const fn is_loading(&self) -> bool {
         self.next.is_none() || self.load.is_some()
@@ -248,6 +336,7 @@
             return TailNews::Nothing;
         }
         let load = self.load.take().unwrap_or_default();
+        self.catches_up &= self.next.is_some_and(|known| first_end > known);
         self.next = Some(first_end);
         TailNews::Loaded(load.records)
     }
--- a/core/src/batch/term.rs
+++ b/core/src/batch/term.rs
@@ -254,7 +254,17 @@
 
 /// Ranks change with the term, so that no daemon is always the first.
 fn rank(daemon: &DaemonName, term: u64) -> u64 {
-    let mut hasher = XxHash64::with_seed(term);
+    hash(daemon, term) % RANKS
+}
+
+/// Returns the part of a span that is the daemon's own, so that daemons act at different times.
+#[must_use]
+pub fn share(daemon: &DaemonName, span: TimeSpan) -> TimeSpan {
+    TimeSpan(hash(daemon, 0) % span.0.max(1))
+}
+
+fn hash(daemon: &DaemonName, seed: u64) -> u64 {
+    let mut hasher = XxHash64::with_seed(seed);
     hasher.write(daemon.as_str().as_bytes());
-    hasher.finish() % RANKS
+    hasher.finish()
 }
--- a/core/tests/batch_tail.rs
+++ b/core/tests/batch_tail.rs
@@ -4,7 +4,9 @@
 use mustardpath_core::batch::message::BatchEffect;
 use mustardpath_core::batch::message::BatchInput;
 use mustardpath_core::batch::message::StoreStream;
+use mustardpath_core::batch::message::StreamChange;
 use mustardpath_core::batch::message::StreamOutcome;
+use mustardpath_core::batch::message::StreamRecord;
 use mustardpath_core::batch::settings::BatchSettings;
 use mustardpath_core::batch::state::BatchState;
 use mustardpath_core::context::StepContext;
@@ -15,6 +17,12 @@
 /// Time after which a failed read has been sent again.
 const RETRY: TimeSpan = TimeSpan(1_000);
 
+/// Size of a configuration of 1,400 queues.
+const LARGE: u64 = 250_000;
+
+/// Time between two reads of a large configuration, of 2.5 s in which it must be in force.
+const TURN: TimeSpan = TimeSpan(1_093);
+
 /// Returns a daemon that has read nothing.
 fn daemon() -> BatchState {
     let settings = r#"{"ready_address": "127.0.0.1:1"}"#;
@@ -37,8 +45,31 @@
     loads.collect()
 }
 
+/// Lets the daemon send what is due and returns its reads of the operators' topic: the offset from
+/// which it reads on, or none if it asks for the newest records.
+fn operator_reads(state: &mut BatchState, at: ClockTime) -> Vec<Option<u64>> {
+    let mut effects = Vec::new();
+    batch::settle(state, &mut StepContext::new(at, &mut effects));
+    let reads = effects.iter().filter_map(|effect| match effect {
+        ControlEffect::Batch(BatchEffect::Read {
+            stream: StoreStream::Operator,
+            from,
+            ..
+        }) => Some(Some(*from)),
+        ControlEffect::Batch(BatchEffect::ReadNewest {
+            stream: StoreStream::Operator,
+            ..
+        }) => Some(None),
+        _ => None,
+    });
+    reads.collect()
+}
+
 fn answer(state: &mut BatchState, at: ClockTime, outcome: StreamOutcome) {
-    let stream = StoreStream::Batch;
+    answer_of(StoreStream::Batch, state, at, outcome);
+}
+
+fn answer_of(stream: StoreStream, state: &mut BatchState, at: ClockTime, outcome: StreamOutcome) {
     let input = BatchInput::Read { stream, outcome };
     let mut effects = Vec::new();
     batch::apply(state, &input, &mut StepContext::new(at, &mut effects));
@@ -73,7 +104,62 @@
         records: Vec::new(),
         after: Some("j1".into()),
         end: 10,
+        bytes: 0,
     };
     answer(&mut state, at, page);
     assert_eq!(loads(&mut state, at + RETRY), [TimeSpan(600)]);
 }
+
+/// Returns an answer with configurations of versions up to `next`, from a topic that ends at `end`.
+fn configurations(next: u64, end: u64) -> StreamOutcome {
+    let change = StreamChange::Unreadable {
+        key: "config".into(),
+        reason: "not of interest here".into(),
+    };
+    StreamOutcome::Records {
+        records: vec![StreamRecord {
+            offset: next - 1,
+            change,
+        }],
+        next,
+        end,
+        bytes: LARGE,
+    }
+}
+
+fn newest(end: u64, bytes: u64) -> StreamOutcome {
+    StreamOutcome::Newest {
+        records: Vec::new(),
+        after: None,
+        end,
+        bytes,
+    }
+}
+
+/// Guards against daemons that read every version of a large configuration while it changes in
+/// quick succession: the link to their region stays full for long after the last change, and what
+/// workers there list comes late (issue 17; bench: growing-configuration on tlr-bench-grown).
+#[test]
+fn a_reader_of_a_large_configuration_leaves_out_versions() {
+    let operator = StoreStream::Operator;
+    let mut state = daemon();
+    let mut at = ClockTime(1_000_000);
+    assert_eq!(operator_reads(&mut state, at), [None]);
+    answer_of(operator, &mut state, at, newest(10, 8_000));
+    assert_eq!(operator_reads(&mut state, at), [Some(10)]);
+    // All daemons get the first large version at once. Each reads on at a time of its own.
+    answer_of(operator, &mut state, at, configurations(11, 11));
+    at = at + TURN;
+    assert_eq!(operator_reads(&mut state, at), [Some(11)]);
+    // Three more versions have come, so only the newest one is read.
+    answer_of(operator, &mut state, at, configurations(12, 15));
+    assert_eq!(operator_reads(&mut state, at), [None]);
+    answer_of(operator, &mut state, at, newest(16, LARGE));
+    assert!(operator_reads(&mut state, at + TURN - TimeSpan(1)).is_empty());
+    at = at + TURN;
+    assert_eq!(operator_reads(&mut state, at), [None]);
+    // Nothing has changed since, so reading goes on from there.
+    answer_of(operator, &mut state, at, newest(16, LARGE));
+    at = at + TURN;
+    assert_eq!(operator_reads(&mut state, at), [Some(16)]);
+}
--- a/src/entry/outward.rs
+++ b/src/entry/outward.rs
@@ -67,9 +67,10 @@
             stream,
             from,
             wait,
+            page,
             timeout,
         } => {
-            let call = store::read(stream, from, wait);
+            let call = store::read(stream, from, wait, page);
             let reply = context.pool.call(&context.store, call, span(timeout)).await;
             let outcome = reply.map_or(StreamOutcome::Failed, |reply| {
                 store::read_outcome(stream, from, reply.status, &reply.body)
--- a/standin/src/batch/store.rs
+++ b/standin/src/batch/store.rs
@@ -106,6 +106,8 @@
             return StreamOutcome::Records {
                 records: Vec::new(),
                 next: from,
+                end: from,
+                bytes: 0,
             };
         };
         let place = usize::try_from(from).unwrap_or(usize::MAX);
@@ -120,7 +122,12 @@
             })
             .collect();
         let next = from + records.len() as u64;
-        StreamOutcome::Records { records, next }
+        StreamOutcome::Records {
+            records,
+            next,
+            end: next,
+            bytes: 0,
+        }
     }
 
     /// Reads the newest record of each key.
@@ -131,6 +138,7 @@
                 records: Vec::new(),
                 after: None,
                 end: 0,
+                bytes: 0,
             };
         };
         let records = topic.newest.values().map(|&offset| StreamRecord {
@@ -141,6 +149,7 @@
             records: records.collect(),
             after: None,
             end: topic.records.len() as u64,
+            bytes: 0,
         }
     }
 }
--- a/standin/src/batch/world/service.rs
+++ b/standin/src/batch/world/service.rs
@@ -102,6 +102,8 @@
         let outcome = StreamOutcome::Records {
             records: Vec::new(),
             next: from,
+            end: from,
+            bytes: 0,
         };
         self.reply(daemon, incarnation, BatchInput::Read { stream, outcome });
     }
--- a/standin/tests/worlds/mod.rs
+++ b/standin/tests/worlds/mod.rs
@@ -30,6 +30,7 @@
             metrics_address: None,
             max_lease: TimeSpan(6_000),
             revocation: TimeSpan(5_000),
+            config_apply: TimeSpan(2_500),
             reclaim: TimeSpan(2_700),
             grace: std::time::Duration::from_secs(6),
             cpu_share: 250,
