Give starts and stops that are sent again more time

Change: the time for an answer doubles with each sending of an order, from 0.6 to 2.4 s. A single task's start is sent three times; a gang's member's still twice, since the others wait for it and end alone.

--- a/core/src/batch/life.rs
+++ b/core/src/batch/life.rs
@@ -54,6 +54,8 @@
     pub sent: ClockTime,
     /// When the worker answered it.
     pub answered: Option<ClockTime>,
+    /// How often it was sent.
+    pub sendings: u32,
 }
 
 /// A run that takes room on a worker.
--- a/core/src/batch/orders.rs
+++ b/core/src/batch/orders.rs
@@ -36,9 +36,14 @@
 /// Wait of a hold at a worker that runs nothing.
 const IDLE_WAIT: TimeSpan = TimeSpan(1_500);
 
-/// Time for an answer of a worker beyond the wait that was asked for.
+/// Time for an answer of a worker beyond the wait that was asked for. For a start or a stop it
+/// doubles with each sending that is not answered: over a full link answers come late, and an order
+/// that is given up and made anew goes over the same link.
 const ORDER_TIME: TimeSpan = TimeSpan(600);
 
+/// Doublings of [`ORDER_TIME`] at most.
+const ORDER_DOUBLINGS: u32 = 2;
+
 /// Time for an answer of a worker whose last hold was not answered. A link that is full looks like
 /// a worker that is silent, and runs are lost with their lease.
 const SILENT_ORDER_TIME: TimeSpan = TimeSpan(1_200);
@@ -56,11 +61,12 @@
 /// that are asked for in the same millisecond as the answer came prove nothing.
 const LOOK_DELAY: TimeSpan = TimeSpan(2);
 
-/// Sendings of one start.
-const START_SENDINGS: u32 = 2;
+/// Sendings of the start of a gang's member. The other members wait for it, and end alone when it
+/// takes too long.
+const MEMBER_SENDINGS: u32 = 2;
 
-/// Wait before a stop is sent again that was not answered.
-const STOP_RETRY: TimeSpan = TimeSpan(600);
+/// Sendings of the start of a single task.
+const SINGLE_SENDINGS: u32 = 3;
 
 /// Wait before a stop is sent again that was answered and not followed by an end.
 const STOP_REPEAT: TimeSpan = TimeSpan(2_500);
@@ -202,6 +208,12 @@
     planner.orders.insert(call, open);
 }
 
+/// Returns the time for an answer to a sending of an order, the first of which is 1.
+fn order_time(sendings: u32) -> TimeSpan {
+    let doublings = sendings.saturating_sub(1).min(ORDER_DOUBLINGS);
+    TimeSpan(ORDER_TIME.0 << doublings)
+}
+
 fn lease(state: &BatchState) -> TimeSpan {
     LEASE.min(state.settings.max_lease)
 }
@@ -336,13 +348,15 @@
         return;
     };
     life.lease_asked(lease_end);
-    if let Some(slot) = life.runs.get_mut(&run) {
-        slot.phase = RunPhase::Sent;
-        slot.since = context.at;
-        slot.sendings += 1;
-    }
+    let Some(slot) = life.runs.get_mut(&run) else {
+        return;
+    };
+    slot.phase = RunPhase::Sent;
+    slot.since = context.at;
+    slot.sendings += 1;
+    let timeout = order_time(slot.sendings);
     let kind = OrderKind::Start(run);
-    send(planner, worker, kind, order, ORDER_TIME, context);
+    send(planner, worker, kind, order, timeout, context);
 }
 
 fn start_answered(
@@ -378,7 +392,12 @@
         OrderOutcome::Undelivered | OrderOutcome::NoListener | OrderOutcome::Refused { .. } => {}
     }
     let is_refused = matches!(outcome, OrderOutcome::Refused { .. });
-    let may_repeat = !is_refused && slot.sendings < START_SENDINGS && !slot.evicted;
+    let most = if slot.gang {
+        MEMBER_SENDINGS
+    } else {
+        SINGLE_SENDINGS
+    };
+    let may_repeat = !is_refused && slot.sendings < most && !slot.evicted;
     if slot.phase != RunPhase::Sent {
         return;
     }
@@ -508,8 +527,10 @@
             }
             let is_wanted = !slot.evicted && is_wanted(state, planner, worker, run);
             let is_due = slot.stop.is_none_or(|stop| {
-                let is_answered = stop.answered.is_some();
-                let wait = if is_answered { STOP_REPEAT } else { STOP_RETRY };
+                let wait = match stop.answered {
+                    Some(_) => STOP_REPEAT,
+                    None => order_time(stop.sendings),
+                };
                 at.since(stop.sent) >= wait
             });
             if !is_wanted && is_due && slot.phase != RunPhase::Inherited {
@@ -557,13 +578,19 @@
     let Some(slot) = planner.slot_mut(worker, &run) else {
         return;
     };
-    let answered = slot.stop.and_then(|stop| stop.answered);
-    slot.stop = Some(StopMark { sent: at, answered });
+    let stop = slot.stop.get_or_insert(StopMark {
+        sent: at,
+        answered: None,
+        sendings: 0,
+    });
+    stop.sent = at;
+    stop.sendings += 1;
+    let timeout = order_time(stop.sendings);
     let reason = if slot.evicted { "evicted" } else { "unwanted" };
     let line = format!("run={run} worker={worker} outcome=stopping reason={reason}");
     context.info(LogPart::Gang, line);
     context.count(MetricName::RunsStopped, 1);
     let kind = OrderKind::Stop(run);
     let order = WorkerOrder::Stop { run };
-    send(planner, worker, kind, order, ORDER_TIME, context);
+    send(planner, worker, kind, order, timeout, context);
 }
--- a/standin/tests/batch_faults.rs
+++ b/standin/tests/batch_faults.rs
@@ -257,3 +257,54 @@
         check(&world);
     }
 }
+
+/// Guards against starts that are given up, stopped and made again elsewhere while a full link only
+/// delays their answers: all that work goes over the same link (issue 17; bench:
+/// growing-configuration on tlr-bench-grown).
+#[test]
+fn starts_whose_answers_come_late_are_made_once() {
+    for seed in 0..10 {
+        let mut world = worlds::world(seed, 3, 4);
+        world.faults.order_delay = TimeSpan(900);
+        world.advance(TimeSpan(2_000));
+        let mut gang = worlds::step(6, 1);
+        gang.gang = true;
+        for (number, step) in (0..).zip([gang, worlds::step(6, 1)]) {
+            world
+                .work
+                .insert(worlds::key(number), (TimeSpan(3_000), false));
+            world.submit(0, worlds::key(number), worlds::job(vec![step]));
+        }
+        world.advance(TimeSpan(12_000));
+        for number in 0..2 {
+            let phase = world.phase(worlds::key(number));
+            assert_eq!(phase, Some(JobPhase::Completed), "seed {seed}");
+        }
+        assert_eq!(world.judge.starts, 12, "seed {seed}");
+        assert_eq!(world.judge.alone, 0, "seed {seed}");
+        check(&world);
+    }
+}
+
+/// Guards against room that is lost for as long as a link is full: a start that may still come has
+/// to be stopped, and no answer to a stop came within its limit (issue 17; bench:
+/// growing-configuration on tlr-bench-grown, LOST).
+#[test]
+fn stops_whose_answers_come_late_free_their_room() {
+    for seed in 0..10 {
+        let mut world = worlds::world(seed, 3, 1);
+        world.urgent.insert(worlds::key(1));
+        world.urgent.insert(worlds::key(2));
+        // The stops overtake the starts, so no run ever shows in a list.
+        world.faults.order_delay = TimeSpan(1_500);
+        world.submit(0, worlds::key(1), worlds::job(vec![worlds::step(4, 1)]));
+        world.advance(TimeSpan(100));
+        world.faults.order_delay = TimeSpan(900);
+        world.cancel(0, worlds::key(1));
+        world.submit(0, worlds::key(2), worlds::job(vec![worlds::step(4, 1)]));
+        // The leases of the worker's runs lapse after this.
+        world.advance(TimeSpan(6_000));
+        assert_eq!(world.judge.starts, 4, "seed {seed}");
+        check(&world);
+    }
+}
