Split the orders to workers by what they ask for

Starts and stops stand in modules of their own; what is in flight, holds and looks stay. Moves only, no change of behaviour: all tests of core and stand-ins pass.

--- a/core/src/batch/planner.rs
+++ b/core/src/batch/planner.rs
@@ -18,13 +18,13 @@
 use crate::batch::message::StreamChange;
 use crate::batch::message::StreamRecord;
 use crate::batch::message::WorkerOrder;
-use crate::batch::orders;
 use crate::batch::outcome;
 use crate::batch::record::BatchRecord;
 use crate::batch::record::TaskNote;
 use crate::batch::record::TaskState;
 use crate::batch::record::WorkerLifeKey;
 use crate::batch::room::RoomClaim;
+use crate::batch::starts;
 use crate::batch::state::BatchState;
 use crate::batch::tail::StreamTail;
 use crate::batch::writer::WriteQueue;
@@ -271,7 +271,7 @@
                 attempt,
             };
             let worker = life.worker.clone();
-            orders::begin(state, &worker, run, context);
+            starts::begin(state, &worker, run, context);
         }
         Some(_) => outcome::settle_job(state, task.step.job, context),
         None => {}
