Keep of an ended job in the log only who may ask for it

After a loss of all daemons, those of the far region load the records of all jobs over one link; until then they answer nobody.

Cause: the record of a job keeps its text for the workers and its steps for as long as it is in the log, although nothing needs them after its end. Effort that grows with the age of a deployment is of the class of this incident.

Change: the record of a job's end goes with a new record of the job without its draft, in the same append, so a daemon that loads the topic never finds a job without steps that has not ended.

--- a/core/src/batch/job.rs
+++ b/core/src/batch/job.rs
@@ -221,6 +221,20 @@
     }
 }
 
+impl JobDefinition {
+    /// Returns what is kept of a job that has ended: who may ask for it, and not what it ran.
+    #[must_use]
+    pub fn ended(&self) -> Self {
+        Self {
+            queue: self.queue.clone(),
+            service: self.service.clone(),
+            team: self.team.clone(),
+            draft: JobDraft::default(),
+            ..*self
+        }
+    }
+}
+
 /// Tells serde to leave out a flag that is not set.
 #[allow(
     clippy::trivially_copy_pass_by_ref,
--- a/core/src/batch/outcome.rs
+++ b/core/src/batch/outcome.rs
@@ -172,6 +172,10 @@
     state
         .planner_lane
         .push(BatchRecord::phase(job, phase), None);
+    // A daemon that loads the topic reads the records of all jobs.
+    state
+        .planner_lane
+        .push_joined(BatchRecord::job(job, definition.ended()));
     for ((occurrence, step), notes) in &entry.steps {
         let step = StepKey {
             job,
--- /dev/null
+++ b/standin/tests/batch_retention.rs
@@ -0,0 +1,58 @@
+//! What is left in the log of jobs that have ended.
+
+// Each test program uses some of the shared parts.
+#[allow(dead_code)]
+mod worlds;
+
+use mustardpath_core::batch::job::JobDraft;
+use mustardpath_core::batch::message::StoreStream;
+use mustardpath_core::batch::message::StreamChange;
+use mustardpath_core::batch::message::StreamOutcome;
+use mustardpath_core::batch::record::BatchRecord;
+use mustardpath_core::batch::record::RecordKey;
+use mustardpath_core::batch::record::RecordValue;
+use mustardpath_core::units::TimeSpan;
+use mustardpath_standin::batch::world::BatchWorld;
+
+/// Returns a world in which two jobs were completed and one was cancelled while it ran.
+fn world_with_ended_jobs(seed: u64) -> BatchWorld {
+    let mut world = worlds::world(seed, 3, 8);
+    let mut gang = worlds::step(4, 1);
+    gang.gang = true;
+    for (number, step) in (0..).zip([gang, worlds::step(3, 1), worlds::step(5, 0)]) {
+        world.submit(0, worlds::key(number), worlds::job(vec![step]));
+    }
+    world.work.insert(worlds::key(2), (TimeSpan(60_000), false));
+    world.advance(TimeSpan(2_000));
+    world.cancel(1, worlds::key(2));
+    world.advance(TimeSpan(6_000));
+    world
+}
+
+/// Returns the newest records that a daemon loads when it starts.
+fn newest(world: &BatchWorld) -> Vec<BatchRecord> {
+    let StreamOutcome::Newest { records, .. } = world.store.read_newest(StoreStream::Batch) else {
+        panic!("the store answers");
+    };
+    let records = records.into_iter().filter_map(|record| match record.change {
+        StreamChange::Batch(batch) => Some(*batch),
+        _ => None,
+    });
+    records.collect()
+}
+
+/// Guards against loads that bring what jobs ran long after their end: all daemons of a region load
+/// over one link after a loss of power (issue 17).
+#[test]
+fn a_job_that_was_completed_is_loaded_without_its_steps() {
+    let world = world_with_ended_jobs(0);
+    let drafts: Vec<JobDraft> = newest(&world)
+        .into_iter()
+        .filter(|record| record.key != RecordKey::Job(worlds::key(2)))
+        .filter_map(|record| match record.value {
+            Some(RecordValue::Job(definition)) => Some(definition.draft),
+            _ => None,
+        })
+        .collect();
+    assert_eq!(drafts, [JobDraft::default(), JobDraft::default()]);
+}
