Remove the records of jobs that ended long ago

Records of jobs were never removed from the topic.

Change: the planner looks through ended jobs every 10 s and removes those that it has known to be ended for twice the time in which callers may ask for them (bounds.status_s), and for 5 min at least. The records of a job go in one append. A planner that takes over counts from the beginning of its term. Records of tasks that outlive a cancelled job go too.

--- a/core/src/batch/book.rs
+++ b/core/src/batch/book.rs
@@ -28,6 +28,9 @@
         pub phase: Option<JobPhase>,
         /// Tasks that were placed at least once, by occurrence and step, at their index.
         pub steps: IndexMap<(u32, u32), Vec<TaskNote>>,
+        /// Number of tasks whose records are still in the log although the job has ended, by
+        /// occurrence and step.
+        pub leftovers: IndexMap<(u32, u32), u32>,
     }
 
     /// The book of jobs.
@@ -75,10 +78,16 @@
         }
     }
 
+    /// Tells whether the job has no work left.
+    #[must_use]
+    pub fn has_ended(&self) -> bool {
+        self.shown_phase().is_final()
+    }
+
     /// Returns the definition while the job has work left.
     #[must_use]
     pub fn open_definition(&self) -> Option<&JobDefinition> {
-        if self.shown_phase().is_final() {
+        if self.has_ended() {
             return None;
         }
         self.definition.as_deref()
@@ -194,7 +203,12 @@
                 self.note_task(&task, note);
                 BookChange::Task(task)
             }
-            (RecordKey::Task(task), None) => BookChange::Task(task),
+            (RecordKey::Task(task), None) => {
+                if let Some(entry) = self.jobs.get_mut(&task.step.job) {
+                    entry.task_removed(&task);
+                }
+                BookChange::Task(task)
+            }
             (RecordKey::Job(job), None) => {
                 self.jobs.swap_remove(&job);
                 BookChange::None
@@ -205,10 +219,12 @@
 
     fn note_task(&mut self, task: &TaskKey, note: &TaskNote) {
         let entry = self.jobs.entry(task.step.job).or_default();
-        if entry.shown_phase().is_final() {
+        let place = (task.step.occurrence, task.step.step);
+        if entry.has_ended() {
+            let count = entry.leftovers.entry(place).or_default();
+            *count = (task.index + 1).max(*count);
             return;
         }
-        let place = (task.step.occurrence, task.step.step);
         let notes = entry.steps.entry(place).or_default();
         let index = task.index as usize;
         if notes.len() <= index {
@@ -219,12 +235,23 @@
 }
 
 impl JobEntry {
+    /// Notes that a task's record was removed. Those of a step are removed in order.
+    fn task_removed(&mut self, task: &TaskKey) {
+        let place = (task.step.occurrence, task.step.step);
+        if self.leftovers.get(&place) == Some(&(task.index + 1)) {
+            self.leftovers.swap_remove(&place);
+        }
+    }
+
     /// Drops what an ended job no longer needs.
     fn shrink(&mut self) {
-        if !self.shown_phase().is_final() {
+        if !self.has_ended() {
             return;
         }
-        self.steps = IndexMap::new();
+        for (place, notes) in std::mem::take(&mut self.steps) {
+            let count = u32::try_from(notes.len()).unwrap_or(u32::MAX);
+            self.leftovers.insert(place, count);
+        }
         if let Some(definition) = &mut self.definition {
             definition.draft = JobDraft::default();
         }
--- a/core/src/batch/mod.rs
+++ b/core/src/batch/mod.rs
@@ -22,6 +22,7 @@
 pub mod placement;
 pub mod planner;
 pub mod record;
+mod retention;
 pub mod room;
 pub mod round;
 pub mod settings;
--- a/core/src/batch/planner.rs
+++ b/core/src/batch/planner.rs
@@ -23,6 +23,7 @@
 use crate::batch::record::TaskNote;
 use crate::batch::record::TaskState;
 use crate::batch::record::WorkerLifeKey;
+use crate::batch::retention::RetentionWatch;
 use crate::batch::room::RoomClaim;
 use crate::batch::starts;
 use crate::batch::state::BatchState;
@@ -97,6 +98,8 @@
     pub claims: IndexMap<StepKey, RoomClaim>,
     /// Workers where runs of a step have failed.
     pub failed_places: IndexMap<StepKey, IndexSet<WorkerName>>,
+    /// What is known of ended jobs.
+    pub retention: RetentionWatch,
     /// Urgent units that were logged because they have waited for long.
     pub overdue: IndexSet<StepKey>,
     /// Jobs that have work left.
@@ -125,6 +128,7 @@
             begun: IndexSet::new(),
             claims: IndexMap::new(),
             failed_places: IndexMap::new(),
+            retention: RetentionWatch::default(),
             overdue: IndexSet::new(),
             open_jobs: IndexSet::new(),
             dirty: true,
--- a/core/src/batch/settings.rs
+++ b/core/src/batch/settings.rs
@@ -35,6 +35,10 @@
     #[serde(default = "reclaim")]
     #[serde_as(as = "SpanText")]
     pub reclaim: TimeSpan,
+    /// Time for which callers may ask for the state of a job that has ended.
+    #[serde(default = "job_status")]
+    #[serde_as(as = "SpanText")]
+    pub job_status: TimeSpan,
     /// Time in seconds that the platform leaves a process between the two stop signals.
     #[serde(default = "grace")]
     #[serde_as(as = "DurationSecondsWithFrac<f64>")]
@@ -61,6 +65,10 @@
     TimeSpan(2_700)
 }
 
+const fn job_status() -> TimeSpan {
+    TimeSpan(120_000)
+}
+
 const fn grace() -> Duration {
     Duration::from_secs(6)
 }
--- a/core/src/batch/step.rs
+++ b/core/src/batch/step.rs
@@ -16,6 +16,7 @@
 use crate::batch::planner;
 use crate::batch::record::BatchRecord;
 use crate::batch::record::RecordKey;
+use crate::batch::retention;
 use crate::batch::round;
 use crate::batch::settings::BatchSettings;
 use crate::batch::state::BatchState;
@@ -89,6 +90,7 @@
 pub fn tick(state: &mut BatchState, context: &mut StepContext<'_>) {
     term::tick(state, context);
     intake::tick(state, context);
+    retention::tick(state, context);
     if let Some(planner) = &mut state.planner {
         planner.dirty = true;
         planner.sweep_due = true;
--- a/standin/tests/batch_retention.rs
+++ b/standin/tests/batch_retention.rs
@@ -5,6 +5,7 @@
 mod worlds;
 
 use mustardpath_core::batch::job::JobDraft;
+use mustardpath_core::batch::job::JobPhase;
 use mustardpath_core::batch::message::StoreStream;
 use mustardpath_core::batch::message::StreamChange;
 use mustardpath_core::batch::message::StreamOutcome;
@@ -14,6 +15,9 @@
 use mustardpath_core::units::TimeSpan;
 use mustardpath_standin::batch::world::BatchWorld;
 
+/// Time after which a job that has ended is forgotten.
+const RETENTION: TimeSpan = TimeSpan(300_000);
+
 /// Returns a world in which two jobs were completed and one was cancelled while it ran.
 fn world_with_ended_jobs(seed: u64) -> BatchWorld {
     let mut world = worlds::world(seed, 3, 8);
@@ -41,6 +45,37 @@
     records.collect()
 }
 
+fn phases(world: &BatchWorld) -> [Option<JobPhase>; 3] {
+    [0, 1, 2].map(|number| world.phase(worlds::key(number)))
+}
+
+/// Guards against a log that grows with the age of a deployment: daemons take longer and longer to
+/// load it, until none is ready in time after a restart.
+#[test]
+fn records_of_ended_jobs_are_removed() {
+    for seed in 0..5 {
+        let mut world = world_with_ended_jobs(seed);
+        let ended = [
+            Some(JobPhase::Completed),
+            Some(JobPhase::Completed),
+            Some(JobPhase::Cancelled),
+        ];
+        assert_eq!(phases(&world), ended, "seed {seed}");
+        // A planner that takes over finds the records of its predecessor.
+        for daemon in 0..world.daemon_count() {
+            world.kill(daemon);
+            world.start(daemon);
+        }
+        world.advance(TimeSpan(RETENTION.0 - 10_000));
+        assert_eq!(phases(&world), ended, "seed {seed}");
+        world.advance(TimeSpan(30_000));
+        assert_eq!(phases(&world), [None; 3], "seed {seed}");
+        let left: Vec<RecordKey> = newest(&world).iter().map(|record| record.key).collect();
+        assert_eq!(left, [RecordKey::Term], "seed {seed}");
+        assert!(world.judge.broken.is_empty(), "{:#?}", world.judge.broken);
+    }
+}
+
 /// Guards against loads that bring what jobs ran long after their end: all daemons of a region load
 /// over one link after a loss of power (issue 17).
 #[test]
--- a/standin/tests/worlds/mod.rs
+++ b/standin/tests/worlds/mod.rs
@@ -32,6 +32,7 @@
             revocation: TimeSpan(5_000),
             config_apply: TimeSpan(2_500),
             reclaim: TimeSpan(2_700),
+            job_status: TimeSpan(120_000),
             grace: std::time::Duration::from_secs(6),
             cpu_share: 250,
         }),
