Give the first load of a topic 2.4 s to begin

Cause: 23 daemons load over one link, which takes about 2 s until the last answer begins. With 0.6 s at first, then 1.2 s, most loads were given up twice, and what they had put on the link was lost.

Ruled out earlier: 1.2 s at first (no gain; the answers were larger then).

Change: 2.4 s at first and 4.8 s after a failure.

--- a/core/src/batch/tail.rs
+++ b/core/src/batch/tail.rs
@@ -13,12 +13,12 @@
 /// Time for an answer of the store beyond the wait that was asked for.
 const READ_TIME: TimeSpan = TimeSpan(600);
 
-/// Time until the answer to a load begins. It doubles with each load in a row that fails, because a
-/// link that is full of other daemons' loads looks like one that is silent.
-const LOAD_TIME: TimeSpan = TimeSpan(600);
+/// Time until the answer to a load begins. It doubles when a load fails, because a link that is full
+/// of other daemons' loads looks like one that is silent.
+const LOAD_TIME: TimeSpan = TimeSpan(2_400);
 
 /// Doublings of [`LOAD_TIME`] at most.
-const LOAD_DOUBLINGS: u32 = 3;
+const LOAD_DOUBLINGS: u32 = 1;
 
 /// Wait before a failed read is tried again.
 const RETRY_WAIT: TimeSpan = TimeSpan(150);
