--- a/core/src/batch/step.rs
+++ b/core/src/batch/step.rs
@@ -44,8 +44,8 @@
 /// Size of an answer to a read in kilobytes.
 const PAGE: u32 = 1_024;
 
-/// Size of an answer to a read of the operators' topic in kilobytes. It holds one record of the
-/// largest size, since a reader that finds more than one page goes on with the newest records.
+/// Size of an answer to a read of the operators' topic in kilobytes. Large records come one by one,
+/// since a reader that finds more than one page goes on with the newest records.
 const OPERATOR_PAGE: u32 = 300;
 
 /// Share of the bound on a new configuration, in sixteenths, after which a daemon reads it again
--- a/core/tests/batch_tail.rs
+++ b/core/tests/batch_tail.rs
@@ -18,7 +18,7 @@
 const RETRY: TimeSpan = TimeSpan(1_000);
 
 /// Size of a configuration of 1,400 queues.
-const LARGE: u64 = 250_000;
+const LARGE: u64 = 322_000;
 
 /// Time between two reads of a large configuration, of 2.5 s in which it must be in force.
 const TURN: TimeSpan = TimeSpan(1_093);
