Use the configuration for 0.8 of the revocation bound

Cause: a daemon turns callers away when its last confirmed read is 3 s old, 0.6 of the 5 s in which a key that was taken away must stop working. Reads of a large configuration are up to 1.8 s apart and take up to 0.7 s over a full link, so the age passes 3 s although nothing is wrong.

Change: 0.8 of the bound. The age counts from when the read was asked for and is looked at when the call is decided, so a request that runs was sent at most 4 s after its key was taken away.

--- a/core/src/batch/state.rs
+++ b/core/src/batch/state.rs
@@ -21,7 +21,7 @@
 
 /// Share of the revocation bound, in tenths, up to which the configuration may be used without
 /// a confirmation.
-const REVOCATION_TENTHS: u64 = 6;
+const REVOCATION_TENTHS: u64 = 8;
 
 /// Greatest age of the last confirmed read of the batch topic at which the planner acts on it. It
 /// leaves room for one lost read, and is shorter than the time in which a cancellation must hold.
--- /dev/null
+++ b/core/tests/batch_revocation.rs
@@ -0,0 +1,120 @@
+//! Keys that are taken away, at a daemon that no longer reads the configuration.
+
+use mustardpath_core::batch;
+use mustardpath_core::batch::catalog::QueueCatalog;
+use mustardpath_core::batch::catalog::QueueConfig;
+use mustardpath_core::batch::catalog::TeamConfig;
+use mustardpath_core::batch::message::BatchEffect;
+use mustardpath_core::batch::message::BatchInput;
+use mustardpath_core::batch::message::CallAction;
+use mustardpath_core::batch::message::QueueAnswer;
+use mustardpath_core::batch::message::QueueCall;
+use mustardpath_core::batch::message::StoreStream;
+use mustardpath_core::batch::message::StreamChange;
+use mustardpath_core::batch::message::StreamOutcome;
+use mustardpath_core::batch::message::StreamRecord;
+use mustardpath_core::batch::settings::BatchSettings;
+use mustardpath_core::batch::state::BatchState;
+use mustardpath_core::config::KeyDigest;
+use mustardpath_core::context::StepContext;
+use mustardpath_core::effect::ControlEffect;
+use mustardpath_core::ids::CallerId;
+use mustardpath_core::kind::ErrorKind;
+use mustardpath_core::units::ClockTime;
+use mustardpath_core::units::TimeSpan;
+
+/// Time at which the daemon asks for the configuration for the last time.
+const ASKED: ClockTime = ClockTime(1_000_000);
+
+/// Time in which a key that was taken away must stop working, with some time for a request that was
+/// sent to come to its decision.
+const BOUND: TimeSpan = TimeSpan(5_000 - 500);
+
+/// Longest time without an answer of the store after which callers are still served: the reads of a
+/// large configuration are up to 2 s apart, and each takes up to 0.7 s over a link that is full.
+const PATIENCE: TimeSpan = TimeSpan(3_400);
+
+fn catalog() -> QueueCatalog {
+    let team = TeamConfig {
+        name: "seals".into(),
+        keys: vec![KeyDigest::of("seals")],
+        guaranteed_gpu: 0,
+    };
+    QueueCatalog {
+        version: 1,
+        queues: vec![QueueConfig {
+            name: "/q/".into(),
+            host: "jobs.example".into(),
+            prefix: "/q/".into(),
+            service: "s".into(),
+            priority: 0,
+            max_attempts: 4,
+            stretch: 3_000,
+            target: TimeSpan(1_000),
+            public: false,
+        }],
+        teams: [(team.name.clone(), team)].into_iter().collect(),
+    }
+}
+
+/// Returns a daemon that has read the configuration and reads nothing more.
+fn daemon() -> BatchState {
+    let settings = r#"{"ready_address": "127.0.0.1:1", "revocation": "5 s"}"#;
+    let settings: BatchSettings = serde_json::from_str(settings).expect("settings");
+    let mut state = BatchState::new(settings, "daemon-1".into(), 1);
+    let mut effects = Vec::new();
+    let context = &mut StepContext::new(ASKED, &mut effects);
+    batch::settle(&mut state, context);
+    let record = StreamRecord {
+        offset: 0,
+        change: StreamChange::Catalog(Box::new(catalog())),
+    };
+    let outcome = StreamOutcome::Newest {
+        records: vec![record],
+        after: None,
+        end: 1,
+        bytes: 500,
+    };
+    let stream = StoreStream::Operator;
+    batch::apply(&mut state, &BatchInput::Read { stream, outcome }, context);
+    state
+}
+
+/// Returns the answer to a call with a key of the configuration.
+fn call(state: &mut BatchState, at: ClockTime) -> QueueAnswer {
+    let call = QueueCall {
+        host: "jobs.example".into(),
+        path: "/q/".into(),
+        credential: Some(KeyDigest::of("seals")),
+        timeout: None,
+        action: CallAction::Read,
+    };
+    let caller = CallerId(1);
+    let call = Box::new(call);
+    let mut effects = Vec::new();
+    let context = &mut StepContext::new(at, &mut effects);
+    batch::apply(state, &BatchInput::Call { caller, call }, context);
+    let answer = effects.into_iter().find_map(|effect| match effect {
+        ControlEffect::Batch(BatchEffect::Answer { answer, .. }) => Some(answer),
+        _ => None,
+    });
+    answer.expect("the call is answered at once")
+}
+
+/// Guards against a daemon that goes on serving a key which may have been taken away.
+#[test]
+fn a_key_is_not_served_beyond_the_bound_on_its_removal() {
+    let mut state = daemon();
+    let QueueAnswer::Failure(report) = call(&mut state, ASKED + BOUND) else {
+        panic!("the call is refused");
+    };
+    // It is not known whether the key is good, so callers are not told that it isn't.
+    assert_eq!(report.kind, ErrorKind::NotReady);
+}
+
+/// Guards against callers who are turned away although the configuration is known well enough.
+#[test]
+fn a_key_is_served_between_two_reads_of_a_large_configuration() {
+    let mut state = daemon();
+    assert_eq!(call(&mut state, ASKED + PATIENCE), QueueAnswer::Pending(0));
+}
