--- a/standin/tests/batch_retention.rs
+++ b/standin/tests/batch_retention.rs
@@ -38,10 +38,12 @@
     let StreamOutcome::Newest { records, .. } = world.store.read_newest(StoreStream::Batch) else {
         panic!("the store answers");
     };
-    let records = records.into_iter().filter_map(|record| match record.change {
-        StreamChange::Batch(batch) => Some(*batch),
-        _ => None,
-    });
+    let records = records
+        .into_iter()
+        .filter_map(|record| match record.change {
+            StreamChange::Batch(batch) => Some(*batch),
+            _ => None,
+        });
     records.collect()
 }
 
