Move work off workers that are about to leave

Callers wait for work that goes on at a worker until the worker leaves, and then begins again elsewhere.

Cause: a worker that drains got no new tasks, but those that it ran stayed until its process ended. The time that it names was decoded and not used.

Change: a run that will not have ended by then is stopped at once, with the other members of its gang, as far as there is room elsewhere; work that has checkpoints goes on from there. Its progress tells how long it still takes, its declared time before 5% of it. enact and departure mark runs by one function of the planner.

--- a/core/src/batch/enact.rs
+++ b/core/src/batch/enact.rs
@@ -1,7 +1,6 @@
 //! Carrying out the decisions of a round: records of placements, claims, runs to stop.
 
 use indexmap::IndexMap;
-use indexmap::IndexSet;
 
 use crate::batch::book::JobEntry;
 use crate::batch::job::JobPhase;
@@ -51,18 +50,8 @@
     for (key, workers) in plan.claims {
         planner.claims.insert(key, RoomClaim { since: at, workers });
     }
-    if plan.evictions.is_empty() {
-        return;
-    }
-    planner.sweep_due = true;
-    let gangs: IndexSet<StepKey> = plan.evictions.iter().map(|run| run.task.step).collect();
-    for life in planner.workers.values_mut() {
-        for (run, slot) in &mut life.runs {
-            let is_member = slot.gang && gangs.contains(&run.task.step);
-            if is_member || plan.evictions.contains(run) {
-                slot.evicted = true;
-            }
-        }
+    if !plan.evictions.is_empty() {
+        planner.evict(&plan.evictions);
     }
 }
 
--- a/core/src/batch/ends.rs
+++ b/core/src/batch/ends.rs
@@ -63,6 +63,7 @@
         }
         slot.unclear = false;
         slot.percent = row.percent;
+        slot.listed = context.at;
         row.checkpoint.clone_into(&mut slot.checkpoint);
         return;
     }
@@ -78,6 +79,7 @@
         placed: context.at,
         expected: TimeSpan(0),
         percent: row.percent,
+        listed: context.at,
         sendings: 0,
         unclear: false,
         evicted: true,
--- a/core/src/batch/life.rs
+++ b/core/src/batch/life.rs
@@ -77,8 +77,10 @@
     pub placed: ClockTime,
     /// Its expected run time.
     pub expected: TimeSpan,
-    /// Its progress in percent.
+    /// Its progress in percent, when it was last listed.
     pub percent: u32,
+    /// When it was last listed.
+    pub listed: ClockTime,
     /// Sendings of its start.
     pub sendings: u32,
     /// Whether a start may still be carried out although it was not answered.
@@ -109,6 +111,8 @@
 pub struct WorkerLife {
     /// What it says of itself, unless its entry is gone.
     pub entry: Option<WorkerEntry>,
+    /// When it leaves at the earliest, by its own account.
+    pub leaves: Option<ClockTime>,
     /// IP number and port, which stay known when the entry is gone: entries can lapse while the
     /// worker is well.
     pub address: Option<String>,
@@ -142,6 +146,7 @@
     pub fn new(born: u64, at: ClockTime) -> Self {
         Self {
             entry: None,
+            leaves: None,
             address: None,
             born,
             clock: None,
--- a/core/src/batch/mod.rs
+++ b/core/src/batch/mod.rs
@@ -6,6 +6,7 @@
 
 pub mod book;
 pub mod catalog;
+mod departure;
 pub mod dump;
 mod enact;
 mod ends;
--- a/core/src/batch/orders.rs
+++ b/core/src/batch/orders.rs
@@ -1,5 +1,6 @@
 //! Orders to workers: what is in flight, holds, and what their answers mean.
 
+use crate::batch::departure;
 use crate::batch::ends;
 use crate::batch::message::BatchEffect;
 use crate::batch::message::OrderOutcome;
@@ -72,6 +73,7 @@
     let planner = state.planner.as_mut();
     if planner.is_some_and(|planner| std::mem::take(&mut planner.sweep_due)) {
         stops::lapse(state, context);
+        departure::sweep(state, context);
         stops::sweep(state, context);
     }
 }
--- a/core/src/batch/planner.rs
+++ b/core/src/batch/planner.rs
@@ -10,6 +10,7 @@
 use crate::batch::job::StepDefinition;
 use crate::batch::job::StepKey;
 use crate::batch::job::TaskKey;
+use crate::batch::job::WorkerCondition;
 use crate::batch::job::WorkerEntry;
 use crate::batch::life::RunPhase;
 use crate::batch::life::RunSlot;
@@ -201,6 +202,20 @@
         }
     }
 
+    /// Marks runs that have to make room, with the other members of their gangs.
+    pub fn evict(&mut self, runs: &IndexSet<RunKey>) {
+        self.sweep_due = true;
+        let gangs: IndexSet<StepKey> = runs.iter().map(|run| run.task.step).collect();
+        for life in self.workers.values_mut() {
+            for (run, slot) in &mut life.runs {
+                let is_member = slot.gang && gangs.contains(&run.task.step);
+                if is_member || runs.contains(run) {
+                    slot.evicted = true;
+                }
+            }
+        }
+    }
+
     /// Removes an order in flight and returns it.
     pub fn take_order(&mut self, call: CallId) -> Option<OpenOrder> {
         self.orders.swap_remove(&call)
@@ -362,6 +377,9 @@
     if was.is_none() {
         life.hold.due = context.at;
     }
+    let is_draining = entry.condition == WorkerCondition::Draining;
+    let remaining = entry.remaining.filter(|_| is_draining);
+    life.leaves = remaining.map(|remaining| context.at + remaining);
     life.address = Some(entry.address.clone());
     life.entry = Some(entry.clone());
 }
@@ -416,6 +434,7 @@
         placed: at,
         expected: step.estimate,
         percent: 0,
+        listed: at,
         sendings: 0,
         unclear: false,
         evicted: false,
--- a/core/tests/batch_life.rs
+++ b/core/tests/batch_life.rs
@@ -45,6 +45,7 @@
         placed: ClockTime(5),
         expected: TimeSpan(0),
         percent: 0,
+        listed: ClockTime(5),
         sendings: 0,
         unclear: false,
         evicted: true,
--- a/standin/tests/batch_faults.rs
+++ b/standin/tests/batch_faults.rs
@@ -258,6 +258,51 @@
     }
 }
 
+/// Returns a world whose only job runs four tasks of the given time, after one of their workers has
+/// said that it leaves in 2 s.
+fn world_with_a_leaving_worker(seed: u64, run_time: TimeSpan) -> (BatchWorld, WorkerName) {
+    let mut world = worlds::world(seed, 3, 8);
+    let mut step = worlds::step(4, 4);
+    step.estimate = run_time;
+    world.work.insert(worlds::key(1), (run_time, false));
+    world.urgent.insert(worlds::key(1));
+    world.submit(0, worlds::key(1), worlds::job(vec![step]));
+    world.advance(TimeSpan(500));
+    assert_eq!(world.judge.starts, 4);
+    let worker = first_worker_with_runs(&world);
+    world.workers[&worker].entry.remaining = Some(TimeSpan(2_000));
+    world.drain_worker(&worker);
+    world.advance(TimeSpan(1_000));
+    (world, worker)
+}
+
+/// Guards against work that goes on at a worker until it leaves, and is lost with it.
+#[test]
+fn work_that_outlasts_its_worker_moves_before_the_worker_leaves() {
+    for seed in 0..10 {
+        let (mut world, worker) = world_with_a_leaving_worker(seed, TimeSpan(6_000));
+        assert_eq!(world.judge.starts, 5, "seed {seed}");
+        assert!(world.workers[&worker].running.is_empty(), "seed {seed}");
+        world.advance(TimeSpan(1_000));
+        world.crash_worker(&worker);
+        world.advance(TimeSpan(6_000));
+        assert_eq!(world.phase(worlds::key(1)), Some(JobPhase::Completed));
+        check(&world);
+    }
+}
+
+/// Guards against work that is stopped although it ends before its worker leaves.
+#[test]
+fn work_that_ends_before_its_worker_leaves_stays() {
+    for seed in 0..10 {
+        let (mut world, _) = world_with_a_leaving_worker(seed, TimeSpan(1_800));
+        world.advance(TimeSpan(1_000));
+        assert_eq!(world.phase(worlds::key(1)), Some(JobPhase::Completed));
+        assert_eq!(world.judge.starts, 4, "seed {seed}");
+        check(&world);
+    }
+}
+
 /// Guards against starts that are given up, stopped and made again elsewhere while a full link only
 /// delays their answers: all that work goes over the same link (issue 17; bench:
 /// growing-configuration on tlr-bench-grown).
