Number orders so that no two terms of a process share a number

Cause: a planner that loads its book anew, because the store has dropped its history, resigns and claims again in the same process. The orders of the new term were numbered from 1 again, and answers to orders of the old term were still on their way. The answer to a hold at one worker was then taken for the list of another one, where nothing of what ran was listed, so all of it was given up and begun again.

Change: the numbers of a term begin at the term times 2^32.

--- a/core/src/batch/planner.rs
+++ b/core/src/batch/planner.rs
@@ -37,6 +37,10 @@
 use crate::ids::WorkerName;
 use crate::units::ClockTime;
 
+/// Bits of an order's number that count within a term. The term is above them: an answer to an order
+/// of an earlier term of the same process must not be taken for one of this term.
+const ORDER_BITS: u32 = 32;
+
 /// An order in flight.
 #[derive(Clone, Debug)]
 pub struct OpenOrder {
@@ -122,7 +126,7 @@
             since: at,
             workers: IndexMap::new(),
             orders: IndexMap::new(),
-            last_order: 0,
+            last_order: term.0 << ORDER_BITS,
             marks: IndexMap::new(),
             live: IndexMap::new(),
             phases: IndexSet::new(),
--- a/standin/tests/batch_interleavings.rs
+++ b/standin/tests/batch_interleavings.rs
@@ -25,7 +25,9 @@
 ///   it had been replaced; the worker had begun anew and took it.
 /// - 24922: a run of an older attempt was the last to keep a task from being placed, and the task
 ///   was never placed again.
-const FAILED_DRAWS: [u64; 2] = [23_704, 24_922];
+/// - 26882: the answer to a hold of an earlier term of the same process was taken for the list of
+///   another worker, and runs that went on there were begun again.
+const FAILED_DRAWS: [u64; 3] = [23_704, 24_922, 26_882];
 
 /// Moves of one draw.
 const MOVES: u32 = 40;
