Let leases of the stand-in's workers lapse on time

The worker model looked at a lease 6.3 s after a start or a hold and at no other time, so a run that began late, by an order that was carried out seconds after it was sent, was kept beyond the end of its lease. The planner had given it up after the lease, as it should. The model now looks when the lease ends by the worker's clock. It is stricter on the product: runs end earlier than before.

--- a/standin/src/batch/worker.rs
+++ b/standin/src/batch/worker.rs
@@ -110,6 +110,14 @@
         self.clock(at) >= self.lease_end
     }
 
+    /// Returns the time until the lease ends, unless it is extended.
+    #[must_use]
+    pub fn time_to_lapse(&self, at: ClockTime) -> TimeSpan {
+        let left = self.lease_end.saturating_sub(self.clock(at));
+        // A millisecond more, because the clock shows whole ones.
+        TimeSpan(left * 1_000 / (1_000 - self.slow) + 1)
+    }
+
     /// Takes the term of an order. Returns a refusal when a newer one was seen.
     pub fn admit(&mut self, term: TermNumber, at: ClockTime) -> Option<OrderOutcome> {
         if term < self.term {
--- a/standin/src/batch/world/service.rs
+++ b/standin/src/batch/world/service.rs
@@ -161,8 +161,9 @@
                 model.forget(*seen);
                 if let Some(end) = lease_end {
                     model.extend(*end, at);
+                    let lapse = model.time_to_lapse(at);
                     let worker = call.worker.clone();
-                    self.schedule(TimeSpan(6_300), WorldEvent::Worker(worker));
+                    self.schedule(lapse, WorldEvent::Worker(worker));
                 }
                 let model = self.workers.get_mut(&call.worker)?;
                 if wait.0 == 0 || !model.ended.is_empty() || !call.answers {
@@ -221,8 +222,9 @@
                 stops: None,
             },
         );
+        let lapse = model.time_to_lapse(at);
         self.schedule(work, WorldEvent::Worker(worker.clone()));
-        self.schedule(TimeSpan(6_300), WorldEvent::Worker(worker.clone()));
+        self.schedule(lapse, WorldEvent::Worker(worker.clone()));
         if is_gang {
             self.schedule(GANG_TIMEOUT, WorldEvent::Worker(worker.clone()));
             self.gather(run);
