--- a/core/src/batch/step.rs
+++ b/core/src/batch/step.rs
@@ -22,7 +22,7 @@
 use crate::batch::state::BatchState;
 use crate::batch::tail::TailNews;
 use crate::batch::tail::TailPace;
-use crate::batch::tail::TailTurns;
+use crate::batch::tail::TailPolling;
 use crate::batch::term;
 use crate::batch::writer::WriteNews;
 use crate::context::StepContext;
@@ -50,7 +50,7 @@
 
 /// Share of the bound on a new configuration, in sixteenths, after which a daemon reads it again
 /// where it is large. A reader that has fallen behind needs one more read within the bound.
-const TURN_SIXTEENTHS: u64 = 7;
+const POLL_SIXTEENTHS: u64 = 7;
 
 /// Pause between reads of the workers' topic, which changes with every heartbeat.
 const WORKER_PAUSE: TimeSpan = TimeSpan(300);
@@ -152,17 +152,17 @@
         wait: BATCH_WAIT,
         pause,
         page: PAGE,
-        turns: None,
+        polling: None,
     }
 }
 
 fn operator_pace(state: &BatchState) -> TailPace {
-    let interval = TimeSpan(state.settings.config_apply.0 * TURN_SIXTEENTHS / 16);
+    let interval = TimeSpan(state.settings.config_apply.0 * POLL_SIXTEENTHS / 16);
     TailPace {
         wait: LONG_WAIT,
         pause: TimeSpan(0),
         page: OPERATOR_PAGE,
-        turns: Some(TailTurns {
+        polling: Some(TailPolling {
             interval,
             phase: term::share(&state.daemon, interval),
         }),
@@ -174,7 +174,7 @@
         wait: LONG_WAIT,
         pause: WORKER_PAUSE,
         page: PAGE,
-        turns: None,
+        polling: None,
     }
 }
 
--- a/core/src/batch/tail.rs
+++ b/core/src/batch/tail.rs
@@ -35,19 +35,20 @@
     pub pause: TimeSpan,
     /// Size of an answer in kilobytes.
     pub page: u32,
-    /// How the topic is read once its records are large, if only the newest one of each key matters.
-    pub turns: Option<TailTurns>,
+    /// How the topic is polled once its records are large, if only the newest one of each key
+    /// matters.
+    pub polling: Option<TailPolling>,
 }
 
-/// Reading of large records in turns.
+/// Polling of large records.
 ///
 /// A read that waits for a record brings it to all daemons of a region at once, over one link, and
-/// whatever else goes over it has to wait. Daemons that read at times of their own share it.
+/// whatever else goes over it has to wait. Daemons that poll at times of their own share it.
 #[derive(Clone, Copy, Debug)]
-pub struct TailTurns {
-    /// Time between two reads.
+pub struct TailPolling {
+    /// Time between two polls.
     pub interval: TimeSpan,
-    /// This daemon's part of the interval, which sets its turns apart from those of others.
+    /// Offset of this daemon's polls, which sets them apart from those of others.
     pub phase: TimeSpan,
 }
 
@@ -57,7 +58,7 @@
     stream: StoreStream,
     next: Option<u64>,
     load: Option<StreamLoad>,
-    /// Whether the last records were large, so that the topic is read in turns.
+    /// Whether the last records were large, so that the topic is polled.
     is_large: bool,
     /// Whether records are left out until a load brings nothing new.
     catches_up: bool,
@@ -207,9 +208,9 @@
                 } else {
                     self.due = context.at + pace.pause;
                 }
-                if let Some(turns) = pace.turns {
+                if let Some(polling) = pace.polling {
                     let size = (!records.is_empty()).then_some(*bytes);
-                    self.take_turn(turns, size, context.at);
+                    self.schedule_poll(polling, size, context.at);
                     if end > next {
                         self.catches_up = true;
                         self.due = context.at;
@@ -228,10 +229,10 @@
                 let load = self.load.get_or_insert_default();
                 let asked = *load.asked.get_or_insert(mark.at);
                 let news = self.take_page(records, after.as_ref(), *end);
-                if let (Some(turns), TailNews::Loaded(_)) = (pace.turns, &news) {
+                if let (Some(polling), TailNews::Loaded(_)) = (pace.polling, &news) {
                     // Each page shows its keys at least as they were when the first was asked for.
                     self.confirmed = self.confirmed.max(Some(asked));
-                    self.take_turn(turns, Some(*bytes), context.at);
+                    self.schedule_poll(polling, Some(*bytes), context.at);
                 }
                 news
             }
@@ -262,16 +263,16 @@
         }
     }
 
-    /// Sets the time of the next read of a topic that may be read in turns, after an answer whose
+    /// Sets the time of the next read of a topic that may be polled, after an answer whose
     /// records have the given size, or after one without records.
-    fn take_turn(&mut self, turns: TailTurns, size: Option<u64>, at: ClockTime) {
+    fn schedule_poll(&mut self, polling: TailPolling, size: Option<u64>, at: ClockTime) {
         let was_large = self.is_large;
         self.is_large = size.map_or(was_large, |size| size >= LARGE_ANSWER);
         if self.is_large {
             let wait = if was_large {
-                turns.interval
+                polling.interval
             } else {
-                turns.phase
+                polling.phase
             };
             self.due = at + wait;
         }
--- a/core/tests/batch_tail.rs
+++ b/core/tests/batch_tail.rs
@@ -21,7 +21,7 @@
 const LARGE: u64 = 322_000;
 
 /// Time between two reads of a large configuration, of 2.5 s in which it must be in force.
-const TURN: TimeSpan = TimeSpan(1_093);
+const POLL: TimeSpan = TimeSpan(1_093);
 
 /// Returns a daemon that has read nothing.
 fn daemon() -> BatchState {
@@ -149,17 +149,17 @@
     assert_eq!(operator_reads(&mut state, at), [Some(10)]);
     // All daemons get the first large version at once. Each reads on at a time of its own.
     answer_of(operator, &mut state, at, configurations(11, 11));
-    at = at + TURN;
+    at = at + POLL;
     assert_eq!(operator_reads(&mut state, at), [Some(11)]);
     // Three more versions have come, so only the newest one is read.
     answer_of(operator, &mut state, at, configurations(12, 15));
     assert_eq!(operator_reads(&mut state, at), [None]);
     answer_of(operator, &mut state, at, newest(16, LARGE));
-    assert!(operator_reads(&mut state, at + TURN - TimeSpan(1)).is_empty());
-    at = at + TURN;
+    assert!(operator_reads(&mut state, at + POLL - TimeSpan(1)).is_empty());
+    at = at + POLL;
     assert_eq!(operator_reads(&mut state, at), [None]);
     // Nothing has changed since, so reading goes on from there.
     answer_of(operator, &mut state, at, newest(16, LARGE));
-    at = at + TURN;
+    at = at + POLL;
     assert_eq!(operator_reads(&mut state, at), [Some(16)]);
 }
