Answer for a key as soon as its response was sent

Cause: a caller gets the response of a non-repeatable request before the record of its end is read back from the log.

Ruled out: responding only after the read-back. It adds an append to each request and holds back results while the log is away.

Change: the daemon that ran the request answers from the record in its outbox. Another daemon still says in_progress and names in detail the daemon that sent the request.

--- a/core/src/caller.rs
+++ b/core/src/caller.rs
@@ -19,6 +19,7 @@
 use crate::ids::JobId;
 use crate::ids::RequestKey;
 use crate::ids::TeamName;
+use crate::intent;
 use crate::kind::ErrorKind;
 use crate::kind::FailureReport;
 use crate::ledger::JobPhase;
@@ -336,30 +337,43 @@
         job: None,
         status: None,
         body: None,
+        detail: None,
     };
-    let name = match &entry.state {
+    match &entry.state {
         KeyState::Job { job } => {
             view.job = Some(*job);
-            "job"
+            "job".clone_into(&mut view.state);
         }
-        KeyState::Intent { writer } if request::is_writer_live(state, writer, at) => "in_progress",
-        KeyState::Intent { .. }
-        | KeyState::Done {
-            end: RequestEnd::Unknown,
-        } => "unknown",
-        KeyState::Done {
-            end: RequestEnd::NotRun,
-        } => "not_run",
-        KeyState::Done {
-            end: RequestEnd::Answered { status, body },
-        } => {
+        KeyState::Intent { writer } => {
+            if let Some(end) = intent::unconfirmed_end(state, team, Some(key)) {
+                show_end(&mut view, end);
+            } else if request::is_writer_live(state, writer, at) {
+                "in_progress".clone_into(&mut view.state);
+                view.detail = Some(format!(
+                    "{} sent the request and its end is not on record yet",
+                    writer.daemon
+                ));
+            } else {
+                "unknown".clone_into(&mut view.state);
+            }
+        }
+        KeyState::Done { end } => show_end(&mut view, end),
+    }
+    Ok(view)
+}
+
+/// Fills in how a short request ended.
+fn show_end(view: &mut KeyView, end: &RequestEnd) {
+    let name = match end {
+        RequestEnd::Unknown => "unknown",
+        RequestEnd::NotRun => "not_run",
+        RequestEnd::Answered { status, body } => {
             view.status = Some(*status);
             view.body.clone_from(body);
             "answered"
         }
     };
     name.clone_into(&mut view.state);
-    Ok(view)
 }
 
 pub(crate) fn wait_for_job(
--- a/core/src/effect.rs
+++ b/core/src/effect.rs
@@ -127,6 +127,9 @@
         pub status: Option<u16>,
         /// Body of the stored response, if it has been kept.
         pub body: Option<String>,
+        /// Which daemon has the request, while it is in progress.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        pub detail: Option<String>,
     }
 
     /// Status of one daemon.
--- a/core/src/intent.rs
+++ b/core/src/intent.rs
@@ -135,27 +135,50 @@
     }
     match &entry.state {
         KeyState::Job { .. } => Err(conflict()),
-        KeyState::Intent { writer } if request::is_writer_live(state, writer, at) => {
-            Err(in_progress())
+        KeyState::Intent { writer } => {
+            if let Some(end) = unconfirmed_end(state, &head.team, head.key.as_ref()) {
+                check_end(end)
+            } else if request::is_writer_live(state, writer, at) {
+                Err(in_progress())
+            } else {
+                Err(unknown("the daemon that sent the request is gone"))
+            }
         }
-        KeyState::Intent { .. } => Err(unknown("the daemon that sent the request is gone")),
-        KeyState::Done { end } => match end {
-            RequestEnd::NotRun => Ok(KeyVerdict::Free),
-            RequestEnd::Unknown => Err(unknown("whether the request ran cannot be found out")),
-            RequestEnd::Answered {
-                status,
-                body: Some(body),
-            } => Ok(KeyVerdict::Answered(CallerAnswer::Kept {
-                status: *status,
-                body: body.clone(),
-            })),
-            RequestEnd::Answered { status, body: None } => Err(unknown(&format!(
-                "the request ran and was answered with status {status}; the answer is not kept"
-            ))),
-        },
+        KeyState::Done { end } => check_end(end),
     }
 }
 
+fn check_end(end: &RequestEnd) -> Result<KeyVerdict, FailureReport> {
+    match end {
+        RequestEnd::NotRun => Ok(KeyVerdict::Free),
+        RequestEnd::Unknown => Err(unknown("whether the request ran cannot be found out")),
+        RequestEnd::Answered {
+            status,
+            body: Some(body),
+        } => Ok(KeyVerdict::Answered(CallerAnswer::Kept {
+            status: *status,
+            body: body.clone(),
+        })),
+        RequestEnd::Answered { status, body: None } => Err(unknown(&format!(
+            "the request ran and was answered with status {status}; the answer is not kept"
+        ))),
+    }
+}
+
+/// Returns the end of a request that ran at this daemon, while its record is not read back yet.
+///
+/// The caller gets its response before that record is read back, and may ask for it at once. An end
+/// as not run is left out: until it is in the log, the key still belongs to the recorded intent.
+#[must_use]
+pub fn unconfirmed_end<'a>(
+    state: &'a DaemonState,
+    team: &TeamName,
+    key: Option<&RequestKey>,
+) -> Option<&'a RequestEnd> {
+    let end = state.outbox.request_end(team, key?)?;
+    (*end != RequestEnd::NotRun).then_some(end)
+}
+
 fn conflict() -> FailureReport {
     FailureReport::new(
         ErrorKind::KeyConflict,
@@ -212,8 +235,7 @@
 }
 
 /// Appends the end of a request with a recorded intent and releases its local claim. Until the
-/// record is read back, the ledger still has the intent, so a repeated request is refused as in
-/// progress.
+/// record is read back, the ledger still has the intent, and [`unconfirmed_end`] has the end.
 pub fn append_end(
     state: &mut DaemonState,
     request: RequestId,
--- a/core/src/outbox.rs
+++ b/core/src/outbox.rs
@@ -15,10 +15,13 @@
 use crate::ids::CallerId;
 use crate::ids::JobId;
 use crate::ids::RequestId;
+use crate::ids::RequestKey;
+use crate::ids::TeamName;
 use crate::ids::WriterId;
 use crate::record::LogRecord;
 use crate::record::RECORD_VERSION;
 use crate::record::RecordBody;
+use crate::record::RequestEnd;
 use crate::settings::LimitSettings;
 use crate::settings::TimingSettings;
 use crate::units::ClockTime;
@@ -177,6 +180,22 @@
         self.entries.iter().any(|entry| entry.purpose == *purpose)
     }
 
+    /// Returns the newest end of a request among the unconfirmed records.
+    #[must_use]
+    pub fn request_end(&self, team: &TeamName, key: &RequestKey) -> Option<&RequestEnd> {
+        self.entries
+            .iter()
+            .rev()
+            .find_map(|entry| match &entry.record.body {
+                RecordBody::RequestDone {
+                    team: owner,
+                    key: done,
+                    end,
+                } if owner == team && done == key => Some(end),
+                _ => None,
+            })
+    }
+
     /// Adds a record with the next sequence number.
     pub fn push(&mut self, at: ClockTime, body: RecordBody, purpose: RecordPurpose) {
         let sequence = self.next_sequence;
--- a/core/tests/requests/harness.rs
+++ b/core/tests/requests/harness.rs
@@ -5,6 +5,7 @@
 use mustardpath_core::config::TeamFile;
 use mustardpath_core::effect::CallerAnswer;
 use mustardpath_core::effect::ControlEffect;
+use mustardpath_core::effect::KeyView;
 use mustardpath_core::event::AppendOutcome;
 use mustardpath_core::event::CallerCommand;
 use mustardpath_core::event::CallerCredential;
@@ -208,6 +209,25 @@
         caller
     }
 
+    /// Returns the outcome that the daemon reports for a key.
+    pub fn read_key(&mut self, team: &str, key: &str) -> KeyView {
+        self.last_caller += 1;
+        let caller = CallerId(self.last_caller);
+        let digest = Some(KeyDigest::of(team));
+        self.apply(EventInput::Caller {
+            caller,
+            credential: CallerCredential { digest },
+            request: CallerCommand::KeyStatus {
+                team: team.into(),
+                key: key.into(),
+            },
+        });
+        match self.replies(caller)[..] {
+            [CallerAnswer::Key(view)] => view.clone(),
+            ref other => panic!("expected the outcome of a key, got {other:?}"),
+        }
+    }
+
     pub fn report_outcome(&mut self, sent: &SentAttempt, outcome: EndpointOutcome) {
         self.apply(EventInput::EndpointCallCompleted {
             request: sent.request,
--- a/src/table.rs
+++ b/src/table.rs
@@ -76,13 +76,14 @@
 pub fn key(view: &KeyView) -> String {
     let or_dash = |text: Option<String>| text.unwrap_or_else(|| "-".to_owned());
     align(&[
-        row(&[&"KEY", &"STATE", &"JOB", &"STATUS", &"BODY"]),
+        row(&[&"KEY", &"STATE", &"JOB", &"STATUS", &"BODY", &"DETAIL"]),
         row(&[
             &view.key,
             &view.state,
             &or_dash(view.job.map(|job| job.to_string())),
             &or_dash(view.status.map(|status| status.to_string())),
             &or_dash(view.body.clone()),
+            &or_dash(view.detail.clone()),
         ]),
     ])
 }
