Load the blocked output test by calls and not by time

Cause: the test sent calls for 6 s of real time.

Change: it sends 2,500 calls, enough for a pipe of 64 KiB and 1,024 queued lines at 64 bytes a line, in rounds below the limit of the log limiter. The checks are the same: each call answered within 1 s, the pipe full, omitted lines counted.

--- a/tests/blocked_output.rs
+++ b/tests/blocked_output.rs
@@ -14,12 +14,20 @@
 
 use serde_json::json;
 
+use mustardpath::entry::log_limiter::LINES_PER_WINDOW;
+use mustardpath::entry::log_limiter::WINDOW;
+
 /// Bytes after which a pipe on Linux blocks its writer. The pipe holds 16 pages, the last of which
 /// stays partly empty when the next line does not fit.
 const PIPE_BYTES: usize = 15 * 4_096;
 
-/// Duration of the load of calls, each of which produces a log line.
-const LOAD_DURATION: Duration = Duration::from_secs(6);
+/// Number of calls, each of which produces a log line of 64 bytes or more: enough to fill the pipe
+/// of 64 KiB and the logger's queue of 1,024 lines.
+const CALL_COUNT: u32 = 2_500;
+
+/// Number of calls in a window of the log limiter. It is below the limit, so that only a full queue
+/// omits lines.
+const CALLS_PER_WINDOW: u32 = LINES_PER_WINDOW - 50;
 
 /// Maximum duration of a call.
 const MAX_LATENCY: Duration = Duration::from_secs(1);
@@ -115,21 +123,23 @@
         call(&agent, "GET", &metrics).is_some()
     });
     assert!(is_up, "the metrics address never answered");
-    let start = Instant::now();
     let mut slowest = Duration::ZERO;
-    let mut calls = 0_u32;
-    while start.elapsed() < LOAD_DURATION {
-        let url = format!("http://{}/queue/{calls:016x}", daemon.callers);
+    for number in 0..CALL_COUNT {
+        if number % CALLS_PER_WINDOW == 0 {
+            thread::sleep(Duration::from_millis(WINDOW.0));
+        }
+        let url = format!("http://{}/queue/{number:016x}", daemon.callers);
         let (status, _, wait) = call(&agent, "POST", &url).expect("each call is answered");
         assert_eq!(status, 503, "a daemon without a configuration is not ready");
         slowest = slowest.max(wait);
-        calls += 1;
-        thread::sleep(Duration::from_millis(1));
     }
     let (_, page, wait) = call(&agent, "GET", &metrics).expect("the metrics are served");
     let written = daemon.end();
     let bytes = written.len();
-    assert!(bytes >= PIPE_BYTES, "{calls} calls wrote {bytes} bytes");
+    assert!(
+        bytes >= PIPE_BYTES,
+        "{CALL_COUNT} calls wrote {bytes} bytes"
+    );
     assert!(
         slowest.max(wait) < MAX_LATENCY,
         "slowest {slowest:?}, {wait:?}"
