Keep runs of a worker whose connections are refused

Callers saw nothing; two runs of one task went on at the same time, which a booking or a claim match must never do.

Cause: a refused connection counted as the end of the worker's process, so its runs were given up at once and started elsewhere. A cut on the way can refuse connections as well, while the worker runs on.

Ruled out: the removal of the worker's entry as a proof; a cut removes it too. What remains as proof: the end of the lease, a new incarnation, or another process that answers (421) at an address at which the worker itself has answered in this term.

Change: the outcome "no listener" is gone; a refused connection is an order that was not sent. A 421 from an address that the worker has not confirmed proves nothing either.

--- a/core/src/batch/message.rs
+++ b/core/src/batch/message.rs
@@ -292,10 +292,9 @@
             /// Reason for the refusal, as reported by the worker.
             refusal: OrderRefusal,
         },
-        /// No byte of the request was sent.
+        /// No byte of the request was sent. This says nothing about the worker's runs: a cut on the
+        /// way can refuse connections too.
         Undelivered,
-        /// No process listens at the worker's address.
-        NoListener,
         /// The worker may carry it out, now or later.
         Unknown,
     }
--- a/core/src/batch/orders.rs
+++ b/core/src/batch/orders.rs
@@ -112,7 +112,7 @@
     let clock = match outcome {
         OrderOutcome::Done { clock, .. } => Some(*clock),
         OrderOutcome::Refused { clock, .. } => *clock,
-        OrderOutcome::Undelivered | OrderOutcome::NoListener | OrderOutcome::Unknown => None,
+        OrderOutcome::Undelivered | OrderOutcome::Unknown => None,
     };
     if let Some(clock) = clock.filter(|_| is_same_incarnation) {
         session.clock_reading = Some((clock, context.at));
@@ -245,17 +245,14 @@
             }
         );
         if is_other_incarnation {
+            // An address that was never confirmed may be the one of another worker.
+            let has_listed = session.hold.answered_at.is_some();
             session.entry = None;
             session.address = None;
-            completion::handle_lost_worker(
-                state,
-                &order.worker,
-                "another incarnation answered",
-                context,
-            );
-        } else if *outcome == OrderOutcome::NoListener {
-            // The worker's runs end with its process.
-            completion::handle_lost_worker(state, &order.worker, "no process listens", context);
+            if has_listed {
+                let reason = "another process answers at its address";
+                completion::handle_lost_worker(state, &order.worker, reason, context);
+            }
         }
         return;
     };
--- a/core/src/batch/starts.rs
+++ b/core/src/batch/starts.rs
@@ -120,7 +120,7 @@
             return;
         }
         OrderOutcome::Unknown => slot.is_start_uncertain = true,
-        OrderOutcome::Undelivered | OrderOutcome::NoListener | OrderOutcome::Refused { .. } => {}
+        OrderOutcome::Undelivered | OrderOutcome::Refused { .. } => {}
     }
     let is_refused = matches!(outcome, OrderOutcome::Refused { .. });
     let max_sends = if slot.is_gang_member {
--- a/src/entry/client.rs
+++ b/src/entry/client.rs
@@ -2,7 +2,6 @@
 
 use std::cell::Cell;
 use std::cell::RefCell;
-use std::io::ErrorKind;
 use std::time::Duration;
 
 use http_body_util::BodyExt;
@@ -35,8 +34,6 @@
 pub enum CallError {
     /// The connection failed before any byte of the request was sent.
     Undelivered,
-    /// The connection was refused, so no byte of the request was sent.
-    NoListener,
     /// The request was sent, but no complete response arrived. It may still be executed.
     Unknown,
 }
@@ -154,10 +151,7 @@
 
 async fn connect(address: &str) -> Result<CallSender, CallError> {
     let stream = TcpStream::connect(address).await;
-    let stream = stream.map_err(|error| match error.kind() {
-        ErrorKind::ConnectionRefused => CallError::NoListener,
-        _ => CallError::Undelivered,
-    })?;
+    let stream = stream.map_err(|_| CallError::Undelivered)?;
     // With Nagle's algorithm a small request would wait for the previous acknowledgement.
     stream
         .set_nodelay(true)
--- a/src/entry/effects.rs
+++ b/src/entry/effects.rs
@@ -110,7 +110,7 @@
                 .await;
             let outcome = match response {
                 Ok(response) => store::decode_append(response.status, &response.body),
-                Err(CallError::Undelivered | CallError::NoListener) => WriteOutcome::Undelivered,
+                Err(CallError::Undelivered) => WriteOutcome::Undelivered,
                 Err(CallError::Unknown) => WriteOutcome::Unknown,
             };
             BatchInput::Written { batch, outcome }
@@ -131,7 +131,6 @@
             let outcome = match response {
                 Ok(response) => worker::decode_outcome(response.status, &response.body),
                 Err(CallError::Undelivered) => OrderOutcome::Undelivered,
-                Err(CallError::NoListener) => OrderOutcome::NoListener,
                 Err(CallError::Unknown) => OrderOutcome::Unknown,
             };
             BatchInput::Order { call, outcome }
--- a/standin/src/batch/simulation.rs
+++ b/standin/src/batch/simulation.rs
@@ -84,6 +84,10 @@
     pub read_failing_daemons: IndexSet<usize>,
     /// Workers that are unreachable for all daemons and cannot reach the store.
     pub partitioned_workers: IndexSet<WorkerName>,
+    /// Daemons with workers that they cannot reach, while others can.
+    pub severed_links: IndexSet<(usize, WorkerName)>,
+    /// Workers that run on while connections to them are refused.
+    pub refusing_workers: IndexSet<WorkerName>,
     /// Latency that is added to each order.
     pub order_delay: TimeSpan,
 }
--- a/standin/src/batch/simulation/delivery.rs
+++ b/standin/src/batch/simulation/delivery.rs
@@ -137,7 +137,14 @@
         timeout: TimeSpan,
     ) {
         let is_lost = self.rng.u32(0..1_000) < self.faults.late_order_permille;
-        let is_partitioned = self.faults.partitioned_workers.contains(&worker);
+        if self.faults.refusing_workers.contains(&worker) {
+            let outcome = OrderOutcome::Undelivered;
+            self.schedule_response(daemon, incarnation, BatchInput::Order { call, outcome });
+            return;
+        }
+        let link = (daemon, worker.clone());
+        let is_partitioned = self.faults.partitioned_workers.contains(&worker)
+            || self.faults.severed_links.contains(&link);
         let worker_incarnation = self
             .workers
             .get(&worker)
--- a/standin/src/batch/simulation/platform.rs
+++ b/standin/src/batch/simulation/platform.rs
@@ -148,7 +148,7 @@
             return;
         }
         let outcome = if model.behavior == WorkerBehavior::Down {
-            Some(OrderOutcome::NoListener)
+            Some(OrderOutcome::Undelivered)
         } else if let Some(refusal) = model.check_term(call.term, at) {
             Some(refusal)
         } else {
@@ -393,7 +393,10 @@
             .position(|(_, _, other, number)| other == worker && *number == call);
         let Some(index) = parked else { return };
         let (daemon, incarnation, _, call) = self.parked_holds.swap_remove(index);
-        if self.faults.partitioned_workers.contains(worker) {
+        let link = (daemon, worker.clone());
+        let is_partitioned = self.faults.partitioned_workers.contains(worker)
+            || self.faults.severed_links.contains(&link);
+        if is_partitioned {
             let outcome = OrderOutcome::Unknown;
             self.schedule_response(daemon, incarnation, BatchInput::Order { call, outcome });
             return;
