Stop extending leases some seconds after the last confirmed read

A planner that resumed also gave up workers whose leases seemed to have expired, before it had read that it was replaced.

Ruled out: extending only while the term was confirmed 2 s ago. Running work would lapse in each outage of the store longer than 8 s. A majority of workers as a proof: the sets of workers that two planners know differ once entries expire.

Change: leases are extended while the last confirmed read of the topic is at most 5 s old, and not by a planner that has released its term. A successor of another daemon waits these 5 s longer for workers that it cannot reach; after its own predecessor it does not, because that process has ended. Leases are given up, and runs stopped, only with a current view.

Effect of a store that is away from all daemons: running work lapses after 11 s without a confirmed read, before it went on for as long as the outage lasted.

--- a/core/src/batch/orders.rs
+++ b/core/src/batch/orders.rs
@@ -71,7 +71,9 @@
     for worker in probes {
         send_probe(state, &worker, context);
     }
-    let planner = state.planner.as_mut();
+    // A planner that has just resumed, or that cannot read the topic, may have been replaced.
+    let is_current = state.is_view_current(at);
+    let planner = state.planner.as_mut().filter(|_| is_current);
     if planner.is_some_and(|planner| std::mem::take(&mut planner.is_reconcile_due)) {
         stops::expire_leases(state, context);
         drain::evict_runs(state, context);
@@ -180,6 +182,7 @@
 
 fn send_hold(state: &mut BatchState, worker: &WorkerName, context: &mut StepContext<'_>) {
     let lease = lease_duration(state);
+    let can_extend = state.can_extend_leases(context.at);
     let Some(planner) = &mut state.planner else {
         return;
     };
@@ -190,12 +193,13 @@
     let has_answered = session.hold.failures == 0;
     let lease_end = session
         .lease_end(lease, context.at)
-        .filter(|_| has_answered);
+        .filter(|_| has_answered && can_extend);
     if let Some(end) = lease_end {
         session.extend_lease(end);
     }
-    let wait = if !session.has_listed || !session.unrecorded_ends.is_empty() || lease_end.is_none()
-    {
+    let is_clock_known = session.clock_reading.is_some();
+    let can_wait = session.has_listed && session.unrecorded_ends.is_empty() && is_clock_known;
+    let wait = if !can_wait || !has_answered {
         TimeSpan(0)
     } else if session.runs.is_empty() {
         IDLE_POLL_WAIT
--- a/core/src/batch/planner.rs
+++ b/core/src/batch/planner.rs
@@ -28,6 +28,7 @@
 use crate::batch::session::WorkerSession;
 use crate::batch::starts;
 use crate::batch::state::BatchState;
+use crate::batch::state::MAX_EXTENSION_AGE;
 use crate::batch::view::JobEntry;
 use crate::batch::writer::WriteQueue;
 use crate::context::StepContext;
@@ -240,7 +241,10 @@
     let Some(planner) = &mut state.planner else {
         return;
     };
-    let lease_expires_at = context.at + WorkerSession::longest_lease(state.settings.max_lease);
+    let mut lease_expires_at = context.at + WorkerSession::longest_lease(state.settings.max_lease);
+    if state.election.has_predecessor(&state.daemon) {
+        lease_expires_at = lease_expires_at + MAX_EXTENSION_AGE;
+    }
     for (job, entry) in &state.view.jobs {
         let Some(definition) = entry.open_definition() else {
             continue;
--- a/core/src/batch/state.rs
+++ b/core/src/batch/state.rs
@@ -27,6 +27,12 @@
 /// allows for one lost read, and is shorter than the time in which a cancellation must take effect.
 const MAX_VIEW_AGE: TimeSpan = TimeSpan(2_000);
 
+/// Maximum age of the last confirmed read of the batch topic for the planner to extend leases.
+///
+/// A planner that is cut off from the store keeps running work alive for this long. Its successor
+/// waits as long before it gives up a worker that it cannot reach.
+pub const MAX_EXTENSION_AGE: TimeSpan = TimeSpan(5_000);
+
 /// State of the batch reducer, kept between inputs.
 #[derive(Clone, Debug)]
 pub struct BatchState {
@@ -108,6 +114,16 @@
         self.batch_reader.is_fresh(at, MAX_VIEW_AGE)
     }
 
+    /// Returns whether the planner may extend leases of workers.
+    ///
+    /// A planner whose term has ended must stop this within a known time, because its successor may
+    /// be unable to reach, and so to fence, some of the workers. A planner that has released its
+    /// term extends nothing.
+    #[must_use]
+    pub fn can_extend_leases(&self, at: ClockTime) -> bool {
+        self.stopping.is_none() && self.batch_reader.is_fresh(at, MAX_EXTENSION_AGE)
+    }
+
     /// Returns whether this daemon has read or confirmed the acceptance of a job.
     #[must_use]
     pub fn is_accepted(&self, job: JobKey) -> bool {
--- a/core/src/batch/term.rs
+++ b/core/src/batch/term.rs
@@ -57,6 +57,8 @@
     claim: Option<(TermNumber, ClockTime)>,
     /// The newest term that this process has held. A process never holds the same term twice.
     last_held_term: TermNumber,
+    /// Holder of the term before the pending claim.
+    predecessor: Option<DaemonName>,
     /// Whether this daemon was the planner until it reloaded the topic.
     can_reclaim: bool,
     /// Sequence number of the next append in the claimed or held term.
@@ -75,6 +77,14 @@
         self.last_write_at = at;
     }
 
+    /// Returns whether another process may have held the term until the last claim of this one,
+    /// and may still act on it.
+    #[must_use]
+    pub fn has_predecessor(&self, daemon: &DaemonName) -> bool {
+        let predecessor = self.predecessor.as_ref();
+        predecessor.is_some_and(|predecessor| predecessor != daemon)
+    }
+
     /// Lets the next claim skip the election timeout, because this daemon was the planner.
     pub fn allow_reclaim(&mut self) {
         self.can_reclaim = true;
@@ -202,8 +212,10 @@
 }
 
 fn claim(state: &mut BatchState, context: &mut StepContext<'_>) {
-    let last = state.view.term.as_ref().map_or(0, |record| record.term.0);
-    let term = TermNumber(last + 1);
+    let record = state.view.term.as_ref();
+    let last = record.map_or(0, |record| record.term.0);
+    let term = TermNumber(last.saturating_add(1));
+    state.election.predecessor = record.and_then(|record| record.holder.clone());
     context.info(LogTarget::Term, format!("term={term} outcome=claiming"));
     state.election.can_reclaim = false;
     state.election.claim = Some((term, context.at));
--- a/standin/tests/batch_membership.rs
+++ b/standin/tests/batch_membership.rs
@@ -35,6 +35,21 @@
     busy.map(|(worker, _)| worker.clone()).collect()
 }
 
+/// Makes the busy workers reachable for one daemon only.
+fn reserve_busy_workers(simulation: &mut BatchSimulation, daemon: usize) {
+    let busy = busy_workers(simulation);
+    for other in (0..simulation.daemon_count()).filter(|other| *other != daemon) {
+        let links = busy.iter().map(|worker| (other, worker.clone()));
+        simulation.faults.severed_links.extend(links);
+    }
+    let idle = simulation
+        .workers
+        .keys()
+        .filter(|worker| !busy.contains(worker));
+    let links = idle.map(|worker| (daemon, worker.clone()));
+    simulation.faults.severed_links.extend(links);
+}
+
 fn assert_invariants(simulation: &BatchSimulation) {
     assert!(
         simulation.checker.violations.is_empty(),
@@ -68,3 +83,57 @@
     simulation.faults.refusing_workers.clear();
     assert_undisturbed(&mut simulation, TimeSpan(6_000));
 }
+
+/// Guards against a planner that is cut off from the store and keeps work alive on workers that its
+/// successor cannot reach, and believes to have ended.
+#[test]
+fn a_replaced_planner_stops_extending_leases_before_its_successor_gives_up() {
+    for seed in 0..8 {
+        let mut simulation = busy_simulation(seed, TimeSpan(40_000));
+        let planner = simulation.planner().expect("there is a planner");
+        simulation.faults.partitioned_daemons.insert(planner);
+        reserve_busy_workers(&mut simulation, planner);
+        simulation.advance(TimeSpan(30_000));
+        assert_ne!(simulation.planner(), Some(planner), "seed {seed}");
+        assert_invariants(&simulation);
+    }
+}
+
+/// Guards against a planner that was suspended and extends leases when it resumes, after another
+/// daemon has become the planner.
+#[test]
+fn a_resumed_planner_extends_no_leases() {
+    for seed in 0..8 {
+        let mut simulation = busy_simulation(seed, TimeSpan(40_000));
+        let planner = simulation.planner().expect("there is a planner");
+        reserve_busy_workers(&mut simulation, planner);
+        simulation.set_paused(planner, true);
+        simulation.advance(TimeSpan(3_000));
+        simulation.faults.partitioned_daemons.insert(planner);
+        simulation.set_paused(planner, false);
+        simulation.advance(TimeSpan(15_000));
+        assert_invariants(&simulation);
+    }
+}
+
+/// Guards against a planner that resumes after a pause and gives up workers whose leases seem to
+/// have expired meanwhile, before it knows whether it is still the planner.
+#[test]
+fn a_resumed_planner_gives_up_no_worker_before_it_has_read_the_topic() {
+    let mut simulation = busy_simulation(3, TimeSpan(20_000));
+    let planner = simulation.planner().expect("there is a planner");
+    let workers = busy_workers(&simulation);
+    simulation.faults.refusing_workers.extend(workers);
+    simulation.advance(TimeSpan(1_800));
+    simulation.set_paused(planner, true);
+    simulation.faults.refusing_workers.clear();
+    simulation.advance(TimeSpan(8_000));
+    simulation.set_paused(planner, false);
+    simulation.advance(TimeSpan(200));
+    let trace = simulation.trace.as_deref().unwrap_or_default();
+    let given_up = format!("d{planner} lease: ");
+    let given_up = trace
+        .iter()
+        .filter(|line| line.contains(&given_up) && line.contains("runs_gone"));
+    assert_eq!(given_up.count(), 0, "{trace:#?}");
+}
