Believe only what a worker or a daemon can have written

What could happen here:

- An entry with a capacity near the maximum of its type was believed.
Sums over workers overflowed: a panic with overflow checks, a wrong order of workers without.
- An entry with a later start or another address, over the key of a worker that runs work, led the planner to another process.
Its 421 counted as the end of the worker's runs.
- An entry that cannot be read counted as a deleted one, so a placement on that worker was withdrawn.
- A worker's list that names a task beyond those of its job led to a durable record of that task.
Each daemon that read it grew its table to the index of the task, up to 4 billion entries, and a job with such a record never ended.

Change: batch/entry.rs checks each entry by itself (address, labels, capacity, start) and against what the worker has shown. An impossible or unreadable entry is ignored, with one log line that names it, and what is known of the worker stays in force. Ends of tasks that the job does not have are not recorded, and records are checked when they are decoded. A submission whose task fits on no machine is refused.

--- a/core/src/batch/completion.rs
+++ b/core/src/batch/completion.rs
@@ -203,6 +203,13 @@
         .submission
         .steps
         .get(run.task.step.step as usize)?;
+    // Workers list what they were told to run, but a malformed list can name a task that the job
+    // does not have.
+    let has_task = run.task.index < step.count
+        && run.task.step.occurrence < definition.submission.occurrence_count();
+    if !has_task {
+        return None;
+    }
     let member = |index| TaskKey {
         step: run.task.step,
         index,
--- a/core/src/batch/guarantee.rs
+++ b/core/src/batch/guarantee.rs
@@ -14,7 +14,7 @@
 #[must_use]
 pub fn peak_gpu(definition: &JobDefinition) -> u64 {
     let steps = definition.submission.steps.iter();
-    let widths = steps.map(|step| u64::from(step.count) * step.demand.gpu);
+    let widths = steps.map(|step| u64::from(step.count).saturating_mul(step.demand.gpu));
     widths.max().unwrap_or(0)
 }
 
--- a/core/src/batch/job.rs
+++ b/core/src/batch/job.rs
@@ -284,11 +284,11 @@
         self.gpu = self.gpu.saturating_sub(other.gpu);
     }
 
-    /// Adds the other amounts.
+    /// Adds the other amounts. The results saturate.
     pub fn add(&mut self, other: &TaskDemand) {
-        self.cpu += other.cpu;
-        self.memory += other.memory;
-        self.gpu += other.gpu;
+        self.cpu = self.cpu.saturating_add(other.cpu);
+        self.memory = self.memory.saturating_add(other.memory);
+        self.gpu = self.gpu.saturating_add(other.gpu);
     }
 }
 
@@ -306,7 +306,15 @@
 }
 
 /// Maximum number of tasks of a job, over all steps and occurrences.
-const MAX_TASKS: u64 = 20_000;
+pub const MAX_TASKS: u64 = 20_000;
+
+/// Amounts that no machine exceeds: 10,000 cores, 1 PiB of memory and 1,024 accelerators. Sums over
+/// a fleet of machines within these amounts do not overflow.
+pub const MAX_DEMAND: TaskDemand = TaskDemand {
+    cpu: 10_000_000,
+    memory: 1 << 30,
+    gpu: 1_024,
+};
 
 /// Maximum number of occurrences of a job.
 const MAX_REPEATS: u32 = 10_000;
@@ -348,9 +356,24 @@
     ///
     /// # Errors
     ///
+    /// Returns a message about the first violation: a structure that is not valid, or a task that
+    /// fits on no machine.
+    pub fn validate(&self) -> Result<(), String> {
+        self.validate_structure()?;
+        let is_too_large = |step: &StepDefinition| !step.demand.fits(&MAX_DEMAND);
+        match self.steps.iter().position(is_too_large) {
+            Some(index) => Err(format!("a task of step {index} fits on no machine")),
+            None => Ok(()),
+        }
+    }
+
+    /// Validates the structure of a submission, on which all code relies that handles jobs.
+    ///
+    /// # Errors
+    ///
     /// Returns a message about the first violation: an empty job or step, a dependency on a step
     /// that is not earlier, or an exceeded limit.
-    pub fn validate(&self) -> Result<(), String> {
+    pub fn validate_structure(&self) -> Result<(), String> {
         if self.spec.len() > MAX_SPEC_BYTES {
             return Err(format!("spec has more than {MAX_SPEC_BYTES} bytes"));
         }
--- a/core/src/batch/message.rs
+++ b/core/src/batch/message.rs
@@ -88,7 +88,7 @@
         Worker {
             /// Name of the worker, which is the record's key.
             worker: WorkerName,
-            /// The entry, or `None` if it was deleted or cannot be decoded.
+            /// The entry, or `None` if it was deleted.
             entry: Option<Box<WorkerEntry>>,
         },
         /// A record that this daemon cannot decode.
--- a/core/src/batch/mod.rs
+++ b/core/src/batch/mod.rs
@@ -11,6 +11,7 @@
 mod completion;
 mod drain;
 pub mod dump;
+pub mod entry;
 pub mod evict;
 pub mod guarantee;
 mod infeasible;
--- a/core/src/batch/planner.rs
+++ b/core/src/batch/planner.rs
@@ -5,6 +5,7 @@
 
 use crate::batch::capacity::CapacityReservation;
 use crate::batch::completion;
+use crate::batch::entry;
 use crate::batch::job::JobDefinition;
 use crate::batch::job::JobKey;
 use crate::batch::job::RunKey;
@@ -42,6 +43,9 @@
 /// answer to an order of an earlier term of the same process never matches an order of this term.
 const ORDER_BITS: u32 = 32;
 
+/// Maximum length of the reason in a log line about an ignored entry, which can quote the entry.
+const MAX_REASON_CHARS: usize = 200;
+
 /// An order that was sent and not answered.
 #[derive(Clone, Debug)]
 pub struct PendingOrder {
@@ -90,6 +94,8 @@
     pub term_began_at: ClockTime,
     /// Sessions of the workers that have an entry or runs.
     pub workers: IndexMap<WorkerName, WorkerSession>,
+    /// Workers whose newest entry is ignored.
+    pub ignored_entries: IndexSet<WorkerName>,
     /// Orders that were sent and not answered.
     pub orders: IndexMap<CallId, PendingOrder>,
     /// Number of the last order, with the term in its high bits.
@@ -128,6 +134,7 @@
             term,
             term_began_at: at,
             workers: IndexMap::new(),
+            ignored_entries: IndexSet::new(),
             orders: IndexMap::new(),
             last_order: term.0 << ORDER_BITS,
             pending_writes: IndexMap::new(),
@@ -321,12 +328,37 @@
     context: &mut StepContext<'_>,
 ) {
     for record in records {
-        if let StreamChange::Worker { worker, entry } = &record.change {
-            apply_worker_entry(state, worker, entry.as_deref(), context);
+        match &record.change {
+            StreamChange::Worker { worker, entry } => {
+                apply_worker_entry(state, worker, entry.as_deref(), context);
+            }
+            StreamChange::Unreadable { key, reason } => {
+                ignore_entry(state, &key.as_str().into(), reason, context);
+            }
+            StreamChange::Batch(_) | StreamChange::Catalog(_) | StreamChange::Domain { .. } => {}
         }
     }
 }
 
+/// Ignores an entry that the worker cannot have written, with one log line until a valid entry
+/// follows. What is known of the worker stays in force.
+fn ignore_entry(
+    state: &mut BatchState,
+    worker: &WorkerName,
+    reason: &str,
+    context: &mut StepContext<'_>,
+) {
+    let Some(planner) = &mut state.planner else {
+        return;
+    };
+    if planner.ignored_entries.insert(worker.clone()) {
+        let reason: String = reason.chars().take(MAX_REASON_CHARS).collect();
+        let worker = worker.as_str();
+        let line = format!("worker={worker:?} outcome=entry_ignored reason={reason:?}");
+        context.warn(LogTarget::Lease, line);
+    }
+}
+
 /// Applies a complete load of the workers' topic. Workers without an entry in it are gone.
 pub fn load_workers(
     state: &mut BatchState,
@@ -359,6 +391,7 @@
         return;
     };
     let Some(entry) = entry else {
+        planner.ignored_entries.swap_remove(worker);
         let session = planner.workers.get_mut(worker);
         if session.is_some_and(|session| session.entry.take().is_some()) {
             planner.is_dirty = true;
@@ -369,13 +402,15 @@
         }
         return;
     };
-    let incarnation = planner
-        .workers
-        .get(worker)
-        .map(|session| session.incarnation);
-    if incarnation.is_some_and(|incarnation| incarnation > entry.incarnation) {
+    let session = planner.workers.get(worker);
+    let contradiction = session.map_or(Ok(()), |session| entry::check_session(entry, session));
+    if let Err(reason) = entry::check(entry, context.at).and(contradiction) {
+        return ignore_entry(state, worker, &reason, context);
+    }
+    if session.is_some_and(|session| session.incarnation > entry.incarnation) {
         return;
     }
+    planner.ignored_entries.swap_remove(worker);
     let session = planner
         .workers
         .entry(worker.clone())
--- a/core/src/batch/session.rs
+++ b/core/src/batch/session.rs
@@ -196,7 +196,8 @@
     #[must_use]
     pub fn lease_end(&self, lease: TimeSpan, at: ClockTime) -> Option<u64> {
         let (clock, read) = self.clock_reading?;
-        Some(clock + at.since(read).0 + lease.0)
+        let elapsed = at.since(read) + lease;
+        Some(clock.saturating_add(elapsed.0))
     }
 
     /// Records that a lease up to `end`, in milliseconds of the worker's clock, was requested.
--- a/core/src/batch/step.rs
+++ b/core/src/batch/step.rs
@@ -227,11 +227,18 @@
         term::resign(state, "the batch topic was reloaded", context);
         state.election.allow_reclaim();
     }
-    let readable = records.iter().filter_map(|record| match &record.change {
-        StreamChange::Batch(batch) => Some((record.offset, BatchRecord::clone(batch))),
-        _ => None,
-    });
-    let readable: Vec<(u64, BatchRecord)> = readable.collect();
+    let mut readable: Vec<(u64, BatchRecord)> = Vec::with_capacity(records.len());
+    for record in records {
+        match &record.change {
+            StreamChange::Batch(batch) => {
+                readable.push((record.offset, BatchRecord::clone(batch)));
+            }
+            StreamChange::Unreadable { key, reason } => log_unreadable(key, reason, context),
+            StreamChange::Catalog(_)
+            | StreamChange::Domain { .. }
+            | StreamChange::Worker { .. } => {}
+        }
+    }
     state.view = BatchView::load(&readable);
     for job in state.view.jobs.keys() {
         state.intake.remove_confirmed(*job);
@@ -240,6 +247,11 @@
     context.info(LogTarget::Log, line);
 }
 
+fn log_unreadable(key: &str, reason: &str, context: &mut StepContext<'_>) {
+    let line = format!("key={key:?} outcome=unreadable reason={reason:?}");
+    context.warn(LogTarget::Log, line);
+}
+
 fn apply_batch_records(
     state: &mut BatchState,
     records: &[StreamRecord],
@@ -254,10 +266,7 @@
                 let change = state.view.apply(record.offset, batch);
                 handle_view_change(state, change, context);
             }
-            StreamChange::Unreadable { key, reason } => {
-                let line = format!("key={key:?} outcome=unreadable reason={reason:?}");
-                context.warn(LogTarget::Log, line);
-            }
+            StreamChange::Unreadable { key, reason } => log_unreadable(key, reason, context),
             StreamChange::Catalog(_)
             | StreamChange::Domain { .. }
             | StreamChange::Worker { .. } => {}
--- a/core/src/batch/view.rs
+++ b/core/src/batch/view.rs
@@ -6,6 +6,7 @@
 use crate::batch::job::JobKey;
 use crate::batch::job::JobPhase;
 use crate::batch::job::JobSubmission;
+use crate::batch::job::MAX_TASKS;
 use crate::batch::job::QueueName;
 use crate::batch::job::StepKey;
 use crate::batch::job::TaskKey;
@@ -203,7 +204,10 @@
                 entry.compact();
                 ViewChange::Phase(job)
             }
-            (RecordKey::Task(task), Some(RecordValue::Task(record))) => {
+            // Tasks are stored by index, so an index beyond any job's must not reach the view.
+            (RecordKey::Task(task), Some(RecordValue::Task(record)))
+                if u64::from(task.index) < MAX_TASKS =>
+            {
                 self.update_task(&task, record);
                 ViewChange::Task(task)
             }
--- a/standin/src/batch/simulation/delivery.rs
+++ b/standin/src/batch/simulation/delivery.rs
@@ -8,6 +8,7 @@
 use mustardpath_core::batch::message::BatchEffect;
 use mustardpath_core::batch::message::BatchInput;
 use mustardpath_core::batch::message::OrderOutcome;
+use mustardpath_core::batch::message::OrderRefusal;
 use mustardpath_core::batch::message::WorkerOrder;
 use mustardpath_core::effect::ControlEffect;
 use mustardpath_core::event::ControlEvent;
@@ -107,11 +108,17 @@
             BatchEffect::Order {
                 call,
                 worker,
+                address,
                 term,
                 order,
                 timeout,
-                ..
-            } => self.send_order(daemon, incarnation, call, worker, term, order, timeout),
+            } => {
+                if let Some(outcome) = self.misdirected_outcome(&worker, &address) {
+                    let input = BatchInput::Order { call, outcome };
+                    return self.schedule_response(daemon, incarnation, input);
+                }
+                self.send_order(daemon, incarnation, call, worker, term, order, timeout);
+            }
             effect => {
                 let delay = self.draw_delay();
                 self.schedule(
@@ -122,6 +129,20 @@
         }
     }
 
+    /// Returns the outcome of an order to an address that is not the worker's, or `None` for the
+    /// worker's own address.
+    fn misdirected_outcome(&self, worker: &WorkerName, address: &str) -> Option<OrderOutcome> {
+        let mut models = self.workers.iter();
+        match models.find(|(_, model)| model.entry.address == address) {
+            Some((name, _)) if name == worker => None,
+            Some(_) => Some(OrderOutcome::Refused {
+                clock: None,
+                refusal: OrderRefusal::OtherLife,
+            }),
+            None => Some(OrderOutcome::Undelivered),
+        }
+    }
+
     #[allow(
         clippy::too_many_arguments,
         reason = "the fields of one effect are destructured by the only caller"
--- a/standin/tests/batch_membership.rs
+++ b/standin/tests/batch_membership.rs
@@ -5,6 +5,12 @@
 mod simulations;
 
 use mustardpath_core::batch::job::JobPhase;
+use mustardpath_core::batch::job::RunKey;
+use mustardpath_core::batch::job::TaskKey;
+use mustardpath_core::batch::job::WorkerEntry;
+use mustardpath_core::batch::message::RunEnding;
+use mustardpath_core::batch::message::StoreStream;
+use mustardpath_core::batch::message::StreamChange;
 use mustardpath_core::ids::WorkerName;
 use mustardpath_core::units::TimeSpan;
 use mustardpath_standin::batch::simulation::BatchSimulation;
@@ -71,6 +77,24 @@
     );
 }
 
+/// Writes an entry that differs from the worker's own, or from any worker's, by a change.
+fn write_entry(
+    simulation: &mut BatchSimulation,
+    worker: &str,
+    change: impl FnOnce(&mut WorkerEntry),
+) {
+    let own = simulation.workers.get(&WorkerName::from(worker));
+    let mut entry = own.unwrap_or(&simulation.workers[0]).entry.clone();
+    change(&mut entry);
+    let change = StreamChange::Worker {
+        worker: worker.into(),
+        entry: Some(Box::new(entry)),
+    };
+    simulation
+        .store
+        .write(StoreStream::Workers, worker, change, false);
+}
+
 /// Guards against a cut that refuses connections and is taken for the end of the worker's process:
 /// its tasks were started elsewhere while they still ran (bench: duschwerk-hq, tlr-bench-grown and
 /// tlr-bench-large with `node_cut`, `servers refuse`: TWICE).
@@ -137,3 +161,102 @@
         .filter(|line| line.contains(&given_up) && line.contains("runs_gone"));
     assert_eq!(given_up.count(), 0, "{trace:#?}");
 }
+
+/// Guards against an entry of another writer that ends a process, stops a reader of the list, or
+/// costs work on other workers.
+#[test]
+fn impossible_entries_are_ignored() {
+    let mut simulation = busy_simulation(2, TimeSpan(6_000));
+    let now = simulation.now();
+    write_entry(&mut simulation, "odd-port", |entry| {
+        entry.address = "10.9.0.1:0".into();
+    });
+    write_entry(&mut simulation, "odd-address", |entry| {
+        entry.address = "10.9.0.1:70000".into();
+    });
+    write_entry(&mut simulation, "odd-capacity", |entry| {
+        entry.capacity.cpu = u64::MAX;
+        entry.capacity.memory = u64::MAX;
+        entry.capacity.gpu = u64::MAX;
+    });
+    write_entry(&mut simulation, "odd-labels", |entry| {
+        entry.labels = vec!["a".into(); 10_000];
+    });
+    write_entry(&mut simulation, "odd-start", |entry| {
+        entry.incarnation = u64::MAX;
+        entry.remaining = Some(TimeSpan(u64::MAX));
+    });
+    let unreadable = StreamChange::Unreadable {
+        key: "odd-\"bytes".into(),
+        reason: "x".repeat(10_000),
+    };
+    for _ in 0..3 {
+        let stream = StoreStream::Workers;
+        simulation
+            .store
+            .write(stream, "odd-bytes", unreadable.clone(), false);
+    }
+    assert_undisturbed(&mut simulation, TimeSpan(8_000));
+    assert!(simulation.now() > now);
+    let trace = simulation.trace.as_deref().unwrap_or_default();
+    let ignored: Vec<&String> = trace
+        .iter()
+        .filter(|line| line.contains("entry_ignored"))
+        .collect();
+    assert_eq!(ignored.len(), 6, "{ignored:#?}");
+    assert!(ignored.iter().all(|line| line.len() < 400), "{ignored:#?}");
+}
+
+/// Guards against work that is given up because another writer has replaced the entry of the worker
+/// that runs it: by bytes that cannot be read, by another address or by a later start.
+#[test]
+fn a_spoiled_entry_of_a_busy_worker_costs_no_work() {
+    let mut simulation = busy_simulation(4, TimeSpan(9_000));
+    let workers = busy_workers(&simulation);
+    let idle = simulation
+        .workers
+        .keys()
+        .find(|worker| !workers.contains(worker));
+    let idle = idle.expect("a worker is idle").clone();
+    let other_address = simulation.workers[&idle].entry.address.clone();
+    let unreadable = StreamChange::Unreadable {
+        key: workers[0].to_string(),
+        reason: "not JSON".into(),
+    };
+    simulation
+        .store
+        .write(StoreStream::Workers, workers[0].as_str(), unreadable, false);
+    write_entry(&mut simulation, workers[1].as_str(), |entry| {
+        entry.address.clone_from(&other_address);
+    });
+    write_entry(&mut simulation, workers[2].as_str(), |entry| {
+        entry.address.clone_from(&other_address);
+        entry.incarnation += 60_000;
+    });
+    write_entry(&mut simulation, workers[3].as_str(), |entry| {
+        entry.incarnation = u64::MAX;
+    });
+    assert_undisturbed(&mut simulation, TimeSpan(11_000));
+}
+
+/// Guards against a list that names a task beyond those of its job: the record of such a task made
+/// every daemon that read it allocate memory for all tasks up to its index.
+#[test]
+fn ends_of_tasks_that_no_job_has_are_not_recorded() {
+    let mut simulation = busy_simulation(5, TimeSpan(3_000));
+    let job = simulations::key(1).text();
+    let rows = [
+        (format!("{job}.0.0.15000"), RunEnding::Done),
+        (format!("{job}.0.0.{}", u32::MAX), RunEnding::Failed),
+        (format!("{job}.9.0.0"), RunEnding::Done),
+    ];
+    for (text, ending) in rows {
+        let run = RunKey {
+            task: TaskKey::parse(&text).expect("the text is a task"),
+            attempt: 1,
+        };
+        let model = simulation.workers.values_mut().next();
+        model.expect("there is a worker").end_run(&run, ending);
+    }
+    assert_undisturbed(&mut simulation, TimeSpan(5_000));
+}
