Contain a panic in the handling of one message

A panic in the handling of a caller's request left its connection counted as open for good. A panic of the control thread ended the process with exit code 0.

Change: a call that panics counts as a call without a response and is logged. The count of open connections follows a guard that is dropped in any case. A panic of the control thread ends the process with an error: its state may be inconsistent, answers to calls of the old state could be taken for those of a new one in the same process, and a new process rebuilds all of it from the store.

--- a/src/bin/mustardpathd.rs
+++ b/src/bin/mustardpathd.rs
@@ -57,7 +57,9 @@
     let daemon = EntryDaemon::start(settings, batch, path)?;
     log::info!("{line}");
     signals::spawn_entry(daemon.handle())?;
-    daemon.wait();
+    daemon.wait().inspect_err(|error| {
+        log::error!("process: outcome=failed reason={error:?}");
+    })?;
     log::info!("process: outcome=ended");
     Ok(())
 }
--- a/src/entry/daemon.rs
+++ b/src/entry/daemon.rs
@@ -139,10 +139,17 @@
     }
 
     /// Waits until the control thread has ended and the traffic thread has sent its responses.
-    pub fn wait(self) {
-        // A panic of either thread is not passed on: the process ends in any case.
-        let _ = self.control.join();
-        let _ = self.traffic.join();
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a thread panicked. Its state may be inconsistent then, and a new process
+    /// rebuilds it from the store.
+    pub fn wait(self) -> io::Result<()> {
+        let control = self.control.join();
+        let traffic = self.traffic.join();
+        let panicked = |name: &str| io::Error::other(format!("the {name} thread panicked"));
+        control.map_err(|_| panicked("control"))?;
+        traffic.map_err(|_| panicked("traffic"))
     }
 }
 
--- a/src/entry/effects.rs
+++ b/src/entry/effects.rs
@@ -1,8 +1,10 @@
 //! Executes effects: reads and appends at the store, orders to workers, responses to callers.
 
+use std::panic::AssertUnwindSafe;
 use std::rc::Rc;
 use std::time::Duration;
 
+use futures::FutureExt;
 use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::task;
 
@@ -63,7 +65,50 @@
     }
 }
 
+/// Executes a call and reports its outcome.
+///
+/// The reducer waits for the outcome of each call, so a panic, for example in a decoder, counts as a
+/// call without a response.
 async fn execute(context: EffectContext, effect: BatchEffect) {
+    let Some(failure) = failed_input(&effect) else {
+        return;
+    };
+    let call = AssertUnwindSafe(call(&context, effect)).catch_unwind();
+    let input = call.await.ok().flatten().unwrap_or_else(|| {
+        log::error!("process: outcome=call_panicked");
+        failure
+    });
+    // The send fails only when the control thread has already ended.
+    let _ = context.events.send(EventInput::Batch(input)).await;
+}
+
+/// Returns the input that reports a call as failed with an unknown outcome, or `None` for an effect
+/// that is not a call.
+const fn failed_input(effect: &BatchEffect) -> Option<BatchInput> {
+    match effect {
+        BatchEffect::Read { stream, .. } | BatchEffect::ReadNewest { stream, .. } => {
+            Some(BatchInput::Read {
+                stream: *stream,
+                outcome: StreamOutcome::Failed,
+            })
+        }
+        BatchEffect::Write { batch, .. } => Some(BatchInput::Written {
+            batch: *batch,
+            outcome: WriteOutcome::Unknown,
+        }),
+        BatchEffect::Order { call, .. } => Some(BatchInput::Order {
+            call: *call,
+            outcome: OrderOutcome::Unknown,
+        }),
+        BatchEffect::Respond { .. }
+        | BatchEffect::RespondReadiness { .. }
+        | BatchEffect::RespondDump { .. }
+        | BatchEffect::Observe { .. }
+        | BatchEffect::CloseConnections => None,
+    }
+}
+
+async fn call(context: &EffectContext, effect: BatchEffect) -> Option<BatchInput> {
     let input = match effect {
         BatchEffect::Read {
             stream,
@@ -140,10 +185,9 @@
         | BatchEffect::RespondReadiness { .. }
         | BatchEffect::RespondDump { .. }
         | BatchEffect::Observe { .. }
-        | BatchEffect::CloseConnections => return,
+        | BatchEffect::CloseConnections => return None,
     };
-    // The send fails only when the control thread has already ended.
-    let _ = context.events.send(EventInput::Batch(input)).await;
+    Some(input)
 }
 
 const fn to_duration(span: TimeSpan) -> Duration {
--- a/src/entry/server.rs
+++ b/src/entry/server.rs
@@ -93,9 +93,7 @@
 }
 
 async fn serve_connection(context: Rc<ServerContext>, stream: TcpStream) {
-    context
-        .open_connections
-        .set(context.open_connections.get() + 1);
+    let _open = OpenConnection::new(&context);
     // With Nagle's algorithm a response would wait for the caller's previous acknowledgement.
     let _ = stream.set_nodelay(true);
     let service = service_fn(|request| handle_request(&context, request));
@@ -103,9 +101,26 @@
     let _ = http1::Builder::new()
         .serve_connection(TokioIo::new(stream), service)
         .await;
-    context
-        .open_connections
-        .set(context.open_connections.get() - 1);
+}
+
+/// Counts an open connection until it is dropped, also by a panic of the task that serves it.
+struct OpenConnection<'a> {
+    context: &'a ServerContext,
+}
+
+impl<'a> OpenConnection<'a> {
+    fn new(context: &'a ServerContext) -> Self {
+        let count = &context.open_connections;
+        count.set(count.get() + 1);
+        Self { context }
+    }
+}
+
+impl Drop for OpenConnection<'_> {
+    fn drop(&mut self) {
+        let count = &self.context.open_connections;
+        count.set(count.get().saturating_sub(1));
+    }
 }
 
 async fn handle_request(
