Settle an unanswered start as soon as its validity has passed

Cause: a start was valid for a whole lease, 6 s. One without an answer was sent three times with timeouts of 0.6, 1.2 and 2.4 s, then stopped, and its task was placed elsewhere only once the stop was answered.

Ruled out: a second copy on another worker (two runs of a task), and stopping earlier (the stop is ignored with the same probability).

Change: a start is valid for 1 s of the worker's clock, because the lease of the worker is renewed by its holds anyway. A resend keeps the deadline. Once it has certainly passed, lists that are requested afterwards show whether the run began: it goes on, or its task is placed elsewhere. At a worker that is reached late, the validity of the next starts doubles up to 4 s. Workers that left an order unanswered within 5 s are chosen last.

--- a/core/src/batch/capacity.rs
+++ b/core/src/batch/capacity.rs
@@ -75,6 +75,7 @@
                 free: session.free_capacity(),
                 capacity: entry.capacity,
                 step_task_count: 0,
+                is_suspect: session.is_suspect(at),
             };
             CapacityRow {
                 service: &entry.service,
--- a/core/src/batch/lists.rs
+++ b/core/src/batch/lists.rs
@@ -60,7 +60,11 @@
         return;
     };
     if let Some(slot) = session.runs.get_mut(&row.run) {
-        if matches!(slot.phase, RunPhase::Starting | RunPhase::Adopted) {
+        let is_confirmed = matches!(
+            slot.phase,
+            RunPhase::Starting | RunPhase::Unconfirmed | RunPhase::Adopted
+        );
+        if is_confirmed {
             slot.phase = RunPhase::Running;
             slot.since = context.at;
         }
@@ -85,6 +89,7 @@
         listed_at: context.at,
         start_sends: 0,
         is_start_uncertain: false,
+        start_deadline: None,
         is_evicted: true,
         stop: None,
         checkpoint: row.checkpoint.clone(),
@@ -180,7 +185,9 @@
         let is_certain = match slot.phase {
             RunPhase::Recording => false,
             RunPhase::Adopted => true,
-            RunPhase::Starting => is_stopped(slot, sent),
+            RunPhase::Starting | RunPhase::Unconfirmed => {
+                is_start_expired(slot, sent) || is_stopped(slot, sent)
+            }
             RunPhase::Running | RunPhase::Untracked => slot.since < sent || is_stopped(slot, sent),
         };
         is_certain && !is_running(run)
@@ -191,6 +198,13 @@
     }
 }
 
+/// Returns whether the deadline of the start orders had passed before the lists were requested. The
+/// run cannot start after that.
+fn is_start_expired(slot: &RunSlot, sent: ClockTime) -> bool {
+    let deadline = slot.start_deadline;
+    deadline.is_some_and(|deadline| deadline.expires_at < sent)
+}
+
 /// Returns whether a stop was acknowledged before the lists were requested. The run cannot start
 /// after that.
 fn is_stopped(slot: &RunSlot, sent: ClockTime) -> bool {
--- a/core/src/batch/orders.rs
+++ b/core/src/batch/orders.rs
@@ -45,6 +45,9 @@
 /// Delay before a failed hold is sent again.
 const HOLD_RETRY_DELAY: TimeSpan = TimeSpan(150);
 
+/// Delay before a probe that has settled nothing is sent again.
+const PROBE_RETRY_DELAY: TimeSpan = TimeSpan(150);
+
 /// Number of consecutive failed holds after which a worker is logged as silent.
 const SILENT_FAILURES: u32 = 2;
 
@@ -335,4 +338,7 @@
     {
         lists::apply_lists(state, &order.worker, order.sent_at, lists, context);
     }
+    if let Some(session) = state.worker_mut(&order.worker) {
+        starts::schedule_probe(session, context.at + PROBE_RETRY_DELAY);
+    }
 }
--- a/core/src/batch/placement.rs
+++ b/core/src/batch/placement.rs
@@ -21,6 +21,8 @@
     pub capacity: TaskDemand,
     /// Tasks of the step on the worker, counted only if the step limits them.
     pub step_task_count: u32,
+    /// Whether the worker left an order unanswered a short time ago. It is chosen last.
+    pub is_suspect: bool,
 }
 
 /// Whether a step's rack preference is a hard constraint.
@@ -78,7 +80,8 @@
     let fitting = workers.iter().enumerate();
     let fitting = fitting.filter(|(_, worker)| worker.max_tasks(step) > 0);
     let fitting = fitting.filter(|(_, worker)| rule == RackRule::Any || is_local(worker));
-    let best = fitting.min_by_key(|(_, worker)| (!is_local(worker), worker.slack(step)));
+    let best = fitting
+        .min_by_key(|(_, worker)| (!is_local(worker), worker.is_suspect, worker.slack(step)));
     best.map(|(index, _)| index)
 }
 
@@ -190,14 +193,16 @@
     indexes: &[usize],
     count: u64,
 ) -> Option<Vec<usize>> {
-    let mut fitting: Vec<(u64, u64, usize)> = indexes
+    let fitting = indexes
         .iter()
-        .map(|&i| (workers[i].max_tasks(step), workers[i].slack(step), i))
-        .filter(|(tasks, _, _)| *tasks > 0)
-        .collect();
-    fitting.sort_by_key(|(_, slack, index)| (*slack, *index));
+        .map(|&index| (workers[index].max_tasks(step), index));
+    let mut fitting: Vec<(u64, usize)> = fitting.filter(|(tasks, _)| *tasks > 0).collect();
+    fitting.sort_by_key(|&(_, index)| {
+        let worker = &workers[index];
+        (worker.is_suspect, worker.slack(step), index)
+    });
     let mut chosen = Vec::with_capacity(usize::try_from(count).unwrap_or(0));
-    for (tasks, _, index) in fitting {
+    for (tasks, index) in fitting {
         let missing = count - chosen.len() as u64;
         for _ in 0..tasks.min(missing) {
             chosen.push(index);
--- a/core/src/batch/planner.rs
+++ b/core/src/batch/planner.rs
@@ -495,6 +495,7 @@
         listed_at: at,
         start_sends: 0,
         is_start_uncertain: false,
+        start_deadline: None,
         is_evicted: false,
         stop: None,
         checkpoint: String::new(),
--- a/core/src/batch/session.rs
+++ b/core/src/batch/session.rs
@@ -21,6 +21,16 @@
 /// Margin on the end of a lease, because times are rounded to milliseconds.
 const LEASE_SLACK: TimeSpan = TimeSpan(100);
 
+/// Time for which a start order is valid. A worker refuses an order that reaches it later, so that
+/// an unanswered start is settled soon afterwards.
+const START_VALIDITY: TimeSpan = TimeSpan(1_000);
+
+/// Maximum number of doublings of [`START_VALIDITY`] at a worker that is reached late.
+const MAX_VALIDITY_DOUBLINGS: u32 = 2;
+
+/// Time after an unanswered order for which other workers are preferred.
+const SUSPICION_TIME: TimeSpan = TimeSpan(5_000);
+
 /// Age of the last answer from which a worker receives no new tasks.
 const MAX_ANSWER_AGE: TimeSpan = TimeSpan(2_600);
 
@@ -41,6 +51,9 @@
     Recording,
     /// The start order was sent and has not been answered.
     Starting,
+    /// The start was given up without an answer. Lists of the worker that are requested after the
+    /// deadline of the order show whether the run began.
+    Unconfirmed,
     /// The worker confirmed the start, or lists the run as running.
     Running,
     /// An earlier planner placed the run; the worker has not listed it to this planner yet.
@@ -49,6 +62,15 @@
     Untracked,
 }
 
+/// End of the validity of a start order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct StartDeadline {
+    /// In milliseconds of the worker's clock, as the order carries it.
+    pub worker_time: u64,
+    /// Time from which the worker certainly refuses the order.
+    pub expires_at: ClockTime,
+}
+
 /// A stop order that was sent for a run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct StopRequest {
@@ -87,6 +109,9 @@
     pub start_sends: u32,
     /// Whether an unanswered start order may still be carried out.
     pub is_start_uncertain: bool,
+    /// Deadline of the start orders of this run; absent before the first one, and once another
+    /// incarnation of the worker may receive them.
+    pub start_deadline: Option<StartDeadline>,
     /// Whether the run is to be stopped to free its capacity, or because its start was abandoned.
     pub is_evicted: bool,
     /// The stop order; absent until one is sent.
@@ -142,6 +167,10 @@
     pub probe_at: Option<ClockTime>,
     /// Time until which the worker receives no new tasks.
     pub backoff_until: ClockTime,
+    /// Number of consecutive starts that were not answered or arrived after their deadline.
+    pub late_starts: u32,
+    /// When an order was last left unanswered.
+    pub unanswered_at: Option<ClockTime>,
     /// Jobs with a failed run since the last successful run on the worker.
     pub failed_jobs: IndexSet<JobKey>,
 }
@@ -165,6 +194,8 @@
             hold: HoldState::default(),
             probe_at: None,
             backoff_until: ClockTime(0),
+            late_starts: 0,
+            unanswered_at: None,
             failed_jobs: IndexSet::new(),
         }
     }
@@ -183,9 +214,16 @@
             entry.incarnation = incarnation;
         }
         for slot in next.runs.values_mut() {
-            if slot.phase == RunPhase::Running {
-                slot.phase = RunPhase::Adopted;
+            match slot.phase {
+                RunPhase::Running => slot.phase = RunPhase::Adopted,
+                RunPhase::Unconfirmed => slot.is_evicted = true,
+                RunPhase::Recording
+                | RunPhase::Starting
+                | RunPhase::Adopted
+                | RunPhase::Untracked => {}
             }
+            // The deadline is a time of the old process's clock.
+            slot.start_deadline = None;
             slot.stop = None;
         }
         *self = next;
@@ -202,12 +240,30 @@
 
     /// Records that a lease up to `end`, in milliseconds of the worker's clock, was requested.
     pub fn extend_lease(&mut self, end: u64) {
-        let Some((clock, read)) = self.clock_reading else {
-            return;
-        };
-        let span = end.saturating_sub(clock);
-        let span = TimeSpan(span + span * CLOCK_DRIFT_PER_MILLE / 1_000);
-        self.lease_expires_at = self.lease_expires_at.max(read + span + LEASE_SLACK);
+        if let Some(reached_at) = self.certainly_reached(end) {
+            self.lease_expires_at = self.lease_expires_at.max(reached_at);
+        }
+    }
+
+    /// Returns the deadline of a start order that is sent now, or `None` before the first reading
+    /// of the worker's clock.
+    #[must_use]
+    pub fn start_deadline(&self, at: ClockTime) -> Option<StartDeadline> {
+        let validity = START_VALIDITY.0 << self.late_starts.min(MAX_VALIDITY_DOUBLINGS);
+        let worker_time = self.lease_end(TimeSpan(validity), at)?;
+        Some(StartDeadline {
+            worker_time,
+            expires_at: self.certainly_reached(worker_time)?,
+        })
+    }
+
+    /// Returns the time at which the worker's clock has certainly reached `time`, in milliseconds
+    /// of that clock, or `None` before its first reading.
+    fn certainly_reached(&self, time: u64) -> Option<ClockTime> {
+        let (clock, read) = self.clock_reading?;
+        let span = time.saturating_sub(clock);
+        let drift = span.saturating_mul(CLOCK_DRIFT_PER_MILLE) / 1_000;
+        Some(read + TimeSpan(span) + TimeSpan(drift) + LEASE_SLACK)
     }
 
     /// Returns the longest time, by the planner's clock, for which a worker can hold a lease of
@@ -270,6 +326,14 @@
             && at >= self.backoff_until
     }
 
+    /// Returns whether the worker left an order unanswered a short time ago. Other workers are
+    /// preferred then, because each order that it ignores costs the time until it is settled.
+    #[must_use]
+    pub fn is_suspect(&self, at: ClockTime) -> bool {
+        let unanswered_at = self.unanswered_at;
+        unanswered_at.is_some_and(|unanswered_at| at.since(unanswered_at) < SUSPICION_TIME)
+    }
+
     /// Suspends new tasks after the worker refused an order or left one unanswered.
     pub fn back_off(&mut self, at: ClockTime) {
         self.backoff_until = self.backoff_until.max(at + BACKOFF);
--- a/core/src/batch/starts.rs
+++ b/core/src/batch/starts.rs
@@ -5,16 +5,20 @@
 use crate::batch::job::WorkerCondition;
 use crate::batch::job::WorkerEntry;
 use crate::batch::message::OrderOutcome;
+use crate::batch::message::OrderRefusal;
 use crate::batch::orders;
 use crate::batch::planner;
 use crate::batch::planner::OrderKind;
 use crate::batch::planner::PendingOrder;
 use crate::batch::session::RunPhase;
+use crate::batch::session::WorkerSession;
 use crate::batch::state::BatchState;
+use crate::batch::stops::PROBE_DELAY;
 use crate::context::StepContext;
 use crate::effect::LogTarget;
 use crate::effect::MetricName;
 use crate::ids::WorkerName;
+use crate::units::ClockTime;
 
 /// Maximum number of start orders for a gang member. The other members wait for it and end with
 /// `Alone` if it takes too long.
@@ -58,12 +62,15 @@
 }
 
 fn send(state: &mut BatchState, worker: &WorkerName, run: RunKey, context: &mut StepContext<'_>) {
-    let lease = orders::lease_duration(state);
-    let planner = state.planner.as_ref();
-    let session = planner.and_then(|planner| planner.workers.get(worker));
-    let lease_end = session.and_then(|session| session.lease_end(lease, context.at));
-    let order = lease_end.and_then(|end| planner::start_order(state, run, end));
-    let (Some(order), Some(lease_end)) = (order, lease_end) else {
+    let at = context.at;
+    let session = state.worker_mut(worker);
+    let deadline = session.and_then(|session| {
+        let sent = session.runs.get(&run)?.start_deadline;
+        sent.or_else(|| session.start_deadline(at))
+    });
+    let order =
+        deadline.and_then(|deadline| planner::start_order(state, run, deadline.worker_time));
+    let (Some(order), Some(deadline)) = (order, deadline) else {
         abandon_start(state, worker, run, context);
         return;
     };
@@ -73,14 +80,15 @@
     let Some(session) = planner.workers.get_mut(worker) else {
         return;
     };
-    session.extend_lease(lease_end);
+    session.extend_lease(deadline.worker_time);
     let Some(slot) = session.runs.get_mut(&run) else {
         return;
     };
     slot.phase = RunPhase::Starting;
-    slot.since = context.at;
+    slot.since = at;
     slot.start_sends += 1;
-    let timeout = orders::order_timeout(slot.start_sends);
+    slot.start_deadline = Some(deadline);
+    let timeout = orders::order_timeout(slot.start_sends).min(deadline.expires_at.since(at));
     let kind = OrderKind::Start(run);
     orders::send(planner, worker, kind, order, timeout, context);
 }
@@ -101,16 +109,28 @@
     let Some(session) = state.worker_mut(worker) else {
         return;
     };
+    let is_late = matches!(
+        outcome,
+        OrderOutcome::Unknown
+            | OrderOutcome::Refused {
+                refusal: OrderRefusal::Late,
+                ..
+            }
+    );
+    if is_late {
+        session.unanswered_at = Some(context.at);
+    }
     let Some(slot) = session.runs.get_mut(&run) else {
         return;
     };
     match outcome {
         OrderOutcome::Done { .. } => {
-            if slot.phase == RunPhase::Starting {
+            if matches!(slot.phase, RunPhase::Starting | RunPhase::Unconfirmed) {
                 slot.phase = RunPhase::Running;
                 slot.since = context.at;
             }
             slot.is_start_uncertain = false;
+            session.late_starts = 0;
             let line = format!(
                 "run={run} worker={worker} outcome=started wait_ms={}",
                 context.at.since(order.sent_at)
@@ -128,7 +148,10 @@
     } else {
         MAX_TASK_SENDS
     };
-    let can_resend = is_current && !is_refused && slot.start_sends < max_sends && !slot.is_evicted;
+    let deadline = slot.start_deadline;
+    let is_valid = deadline.is_some_and(|deadline| context.at < deadline.expires_at);
+    let can_resend = is_current && is_valid && !is_refused && !slot.is_evicted;
+    let can_resend = can_resend && slot.start_sends < max_sends;
     if slot.phase != RunPhase::Starting {
         return;
     }
@@ -139,10 +162,12 @@
     context.warn(LogTarget::Gang, line);
     context.update_metric(MetricName::RunsNotStarted, 1);
     session.back_off(context.at);
+    session.late_starts += u32::from(is_late);
     abandon_start(state, worker, run, context);
 }
 
-/// Abandons a start. A run that an unanswered order may still start has to be stopped first.
+/// Abandons a start. Whether an unanswered order has started the run is settled by lists that are
+/// requested after its deadline, or by a stop if the deadline is not known.
 fn abandon_start(
     state: &mut BatchState,
     worker: &WorkerName,
@@ -152,13 +177,32 @@
     let Some(planner) = &mut state.planner else {
         return;
     };
-    let Some(slot) = planner.slot_mut(worker, &run) else {
+    let Some(session) = planner.workers.get_mut(worker) else {
         return;
     };
-    if slot.is_start_uncertain {
+    let Some(slot) = session.runs.get_mut(&run) else {
+        return;
+    };
+    if !slot.is_start_uncertain {
+        return completion::handle_lost_run(state, worker, run, context);
+    }
+    if slot.start_deadline.is_some() {
+        slot.phase = RunPhase::Unconfirmed;
+        schedule_probe(session, context.at);
+    } else {
         slot.is_evicted = true;
         planner.is_reconcile_due = true;
-        return;
     }
-    completion::handle_lost_run(state, worker, run, context);
+}
+
+/// Schedules a probe, no earlier than `earliest`, if the worker has starts to settle.
+pub fn schedule_probe(session: &mut WorkerSession, earliest: ClockTime) {
+    let slots = session.runs.values();
+    let unconfirmed = slots.filter(|slot| slot.phase == RunPhase::Unconfirmed);
+    let deadlines = unconfirmed.filter_map(|slot| slot.start_deadline);
+    let Some(expires_at) = deadlines.map(|deadline| deadline.expires_at).min() else {
+        return;
+    };
+    let probe_at = earliest.max(expires_at + PROBE_DELAY);
+    session.probe_at = Some(session.probe_at.map_or(probe_at, |due| due.min(probe_at)));
 }
--- a/core/src/batch/stops.rs
+++ b/core/src/batch/stops.rs
@@ -23,9 +23,9 @@
 /// Delay before a stop order is sent again that was acknowledged without the run ending.
 const STOP_RESEND_DELAY: TimeSpan = TimeSpan(2_500);
 
-/// Delay between the answer to a stop and the probe that shows whether the run ever started. Lists
-/// requested in the same millisecond as the answer prove nothing.
-const PROBE_DELAY: TimeSpan = TimeSpan(2);
+/// Delay between the answer to a stop, or the deadline of a start, and the probe that shows whether
+/// the run ever started. Lists requested in the same millisecond prove nothing.
+pub const PROBE_DELAY: TimeSpan = TimeSpan(2);
 
 /// Handles the outcome of a stop order.
 pub fn complete(
--- a/core/tests/batch_evict.rs
+++ b/core/tests/batch_evict.rs
@@ -30,6 +30,7 @@
         free: TaskDemand::default(),
         capacity: WORKER_CAPACITY,
         step_task_count: 0,
+        is_suspect: false,
     }
 }
 
--- a/core/tests/batch_session.rs
+++ b/core/tests/batch_session.rs
@@ -48,6 +48,7 @@
         listed_at: ClockTime(5),
         start_sends: 0,
         is_start_uncertain: false,
+        start_deadline: None,
         is_evicted: true,
         stop: None,
         checkpoint: String::new(),
