Look only at what changed in the planner's passes, and resend starts sooner

Two changes of the same files.

Cost of the planner. At 3,000 workers each burst of events looked at all workers twice for due holds, each round at all tasks of all open jobs, and each end of a run led to a pass over all runs.

Unanswered starts.

--- a/core/src/batch/lists.rs
+++ b/core/src/batch/lists.rs
@@ -87,7 +87,6 @@
         expected_run_time: TimeSpan(0),
         percent: row.percent,
         listed_at: context.at,
-        start_sends: 0,
         is_start_uncertain: false,
         start_deadline: None,
         is_evicted: true,
--- a/core/src/batch/orders.rs
+++ b/core/src/batch/orders.rs
@@ -45,8 +45,14 @@
 /// Delay before a failed hold is sent again.
 const HOLD_RETRY_DELAY: TimeSpan = TimeSpan(150);
 
-/// Delay before a probe that has settled nothing is sent again.
-const PROBE_RETRY_DELAY: TimeSpan = TimeSpan(150);
+/// Interval between probes of a worker until its unanswered starts are settled.
+const PROBE_INTERVAL: TimeSpan = TimeSpan(200);
+
+/// Number of runs that lengthen the interval between two reconciliations by 1 ms.
+const RUNS_PER_INTERVAL_MS: usize = 300;
+
+/// Longest interval between two reconciliations.
+const MAX_RECONCILE_INTERVAL: TimeSpan = TimeSpan(60);
 
 /// Number of consecutive failed holds after which a worker is logged as silent.
 const SILENT_FAILURES: u32 = 2;
@@ -56,32 +62,58 @@
 
 /// Sends due holds and probes, and reconciles runs when that is due.
 pub fn tick(state: &mut BatchState, context: &mut StepContext<'_>) {
-    let Some(planner) = &state.planner else {
+    let Some(planner) = &mut state.planner else {
         return;
     };
     let at = context.at;
-    let holds = planner.workers.iter().filter(|(_, session)| {
-        session.address.is_some() && session.hold.sent_at.is_none() && session.hold.due_at <= at
-    });
-    let holds: Vec<WorkerName> = holds.map(|(worker, _)| worker.clone()).collect();
-    let probes = planner.workers.iter();
-    let probes =
-        probes.filter(|(_, session)| session.probe_at.is_some_and(|probe_at| probe_at <= at));
-    let probes: Vec<WorkerName> = probes.map(|(worker, _)| worker.clone()).collect();
-    for worker in holds {
-        send_hold(state, &worker, context);
+    let due = planner.take_due_workers(at);
+    let due: Vec<WorkerName> = if std::mem::take(&mut planner.is_scan_due) {
+        planner.workers.keys().cloned().collect()
+    } else {
+        due
+    };
+    for worker in due {
+        send_due(state, &worker, context);
+    }
+    reconcile(state, context);
+}
+
+/// Sends the hold and the probe of a worker if they are due.
+fn send_due(state: &mut BatchState, worker: &WorkerName, context: &mut StepContext<'_>) {
+    let at = context.at;
+    let Some(session) = state.worker_mut(worker) else {
+        return;
+    };
+    let is_idle = session.address.is_some() && session.hold.sent_at.is_none();
+    let is_probe_due = session.probe_at.is_some_and(|probe_at| probe_at <= at);
+    if is_idle && session.hold.due_at <= at {
+        send_hold(state, worker, context);
     }
-    for worker in probes {
-        send_probe(state, &worker, context);
+    if is_probe_due {
+        send_probe(state, worker, context);
     }
+}
+
+/// Gives up expired leases, moves runs off leaving workers and stops unwanted runs.
+///
+/// Each of these looks at all runs, so the passes are further apart the more runs there are.
+fn reconcile(state: &mut BatchState, context: &mut StepContext<'_>) {
+    let at = context.at;
     // A planner that has just resumed, or that cannot read the topic, may have been replaced.
     let is_current = state.is_view_current(at);
-    let planner = state.planner.as_mut().filter(|_| is_current);
-    if planner.is_some_and(|planner| std::mem::take(&mut planner.is_reconcile_due)) {
-        stops::expire_leases(state, context);
-        drain::evict_runs(state, context);
-        stops::reconcile(state, context);
+    let Some(planner) = state.planner.as_mut().filter(|_| is_current) else {
+        return;
+    };
+    if !planner.is_reconcile_due || at < planner.next_reconcile_at {
+        return;
     }
+    planner.is_reconcile_due = false;
+    let interval_ms = planner.live_runs.len() / RUNS_PER_INTERVAL_MS;
+    let interval = TimeSpan(u64::try_from(interval_ms).unwrap_or(u64::MAX));
+    planner.next_reconcile_at = at + interval.min(MAX_RECONCILE_INTERVAL);
+    stops::expire_leases(state, context);
+    drain::evict_runs(state, context);
+    stops::reconcile(state, context);
 }
 
 /// Completes a pending order with its outcome. An unknown order is ignored.
@@ -238,8 +270,10 @@
     };
     session.hold.sent_at = None;
     let OrderOutcome::Done { lists, .. } = outcome else {
+        let due_at = context.at + HOLD_RETRY_DELAY;
         session.hold.failures += 1;
-        session.hold.due_at = context.at + HOLD_RETRY_DELAY;
+        session.hold.due_at = due_at;
+        planner.due_workers.insert((due_at, order.worker.clone()));
         if session.hold.failures == SILENT_FAILURES {
             let line = format!("worker={} outcome=silent reason={outcome:?}", order.worker);
             context.warn(LogTarget::Lease, line);
@@ -324,6 +358,8 @@
         ORDER_TIMEOUT,
         context,
     );
+    // A probe can be lost like the start that it is to settle, so the next one does not wait for it.
+    starts::schedule_probe(planner, worker, context.at + PROBE_INTERVAL);
 }
 
 fn handle_probe_outcome(
@@ -338,7 +374,4 @@
     {
         lists::apply_lists(state, &order.worker, order.sent_at, lists, context);
     }
-    if let Some(session) = state.worker_mut(&order.worker) {
-        starts::schedule_probe(session, context.at + PROBE_RETRY_DELAY);
-    }
 }
--- a/core/src/batch/planner.rs
+++ b/core/src/batch/planner.rs
@@ -1,5 +1,7 @@
 //! The planner: state that the holder of the term keeps in memory, beyond the materialized view.
 
+use std::collections::BTreeSet;
+
 use indexmap::IndexMap;
 use indexmap::IndexSet;
 
@@ -118,12 +120,20 @@
     pub overdue_units: IndexSet<StepKey>,
     /// Jobs that are neither completed, failed nor cancelled.
     pub open_jobs: IndexSet<JobKey>,
+    /// Open jobs that may have tasks to place. A round looks at these only.
+    pub waiting_jobs: IndexSet<JobKey>,
+    /// Workers whose hold or probe is due outside a scan of all workers.
+    pub due_workers: BTreeSet<(ClockTime, WorkerName)>,
+    /// Whether holds and probes of all workers are checked, which each tick requests.
+    pub is_scan_due: bool,
     /// Whether anything that affects placement has changed since the last round.
     pub is_dirty: bool,
     /// Earliest time of the next round.
     pub next_round_at: ClockTime,
     /// Whether runs may have to be stopped, so that `stops::reconcile` is due.
     pub is_reconcile_due: bool,
+    /// Earliest time of the next pass of `stops::reconcile`.
+    pub next_reconcile_at: ClockTime,
 }
 
 impl PlannerState {
@@ -146,9 +156,13 @@
             retention: RetentionTracker::default(),
             overdue_units: IndexSet::new(),
             open_jobs: IndexSet::new(),
+            waiting_jobs: IndexSet::new(),
+            due_workers: BTreeSet::new(),
+            is_scan_due: true,
             is_dirty: true,
             next_round_at: at,
             is_reconcile_due: true,
+            next_reconcile_at: at,
         }
     }
 
@@ -175,9 +189,34 @@
             }
         }
         self.is_dirty = true;
+        self.note_waiting(run.task.step.job);
         Some(slot)
     }
 
+    /// Notes that a job may have tasks to place. Does nothing for a job that is not open.
+    pub fn note_waiting(&mut self, job: JobKey) {
+        if self.open_jobs.contains(&job) {
+            self.waiting_jobs.insert(job);
+        }
+    }
+
+    /// Removes and returns the workers that are due, which may include some that are no longer.
+    pub fn take_due_workers(&mut self, at: ClockTime) -> Vec<WorkerName> {
+        let later = self
+            .due_workers
+            .iter()
+            .find(|(due_at, _)| *due_at > at)
+            .cloned();
+        let due = match later {
+            Some(later) => {
+                let later = self.due_workers.split_off(&later);
+                std::mem::replace(&mut self.due_workers, later)
+            }
+            None => std::mem::take(&mut self.due_workers),
+        };
+        due.into_iter().map(|(_, worker)| worker).collect()
+    }
+
     /// Returns whether a task has neither a live run nor an append in flight.
     #[must_use]
     pub fn is_settled(&self, task: &TaskKey) -> bool {
@@ -257,6 +296,7 @@
             continue;
         };
         planner.open_jobs.insert(*job);
+        planner.waiting_jobs.insert(*job);
         for (task, record, step) in placed_tasks(*job, definition, &entry.steps) {
             let (TaskState::Placed(key) | TaskState::Stopping(key)) = &record.state else {
                 continue;
@@ -295,6 +335,7 @@
         return;
     };
     planner.is_dirty = true;
+    planner.note_waiting(task.step.job);
     if let Some(write) = planner.pending_writes.get_mut(task) {
         write.count -= 1;
         if write.count == 0 {
@@ -434,6 +475,7 @@
     }
     if last_condition.is_none() {
         session.hold.due_at = context.at;
+        planner.due_workers.insert((context.at, worker.clone()));
     }
     let is_draining = entry.condition == WorkerCondition::Draining;
     let remaining = entry.remaining.filter(|_| is_draining);
@@ -452,8 +494,10 @@
     let entry = state.view.jobs.get(&job);
     if entry.is_some_and(|entry| entry.open_definition().is_some()) {
         planner.open_jobs.insert(job);
+        planner.waiting_jobs.insert(job);
     } else {
         planner.open_jobs.swap_remove(&job);
+        planner.waiting_jobs.swap_remove(&job);
         planner.finalized_jobs.swap_remove(&job);
         planner.started_jobs.swap_remove(&job);
         planner.failed_workers.retain(|step, _| step.job != job);
@@ -469,6 +513,7 @@
             session.unrecorded_ends.swap_remove(number);
             if session.unrecorded_ends.is_empty() {
                 session.hold.due_at = at;
+                planner.due_workers.insert((at, key.worker.clone()));
             }
         }
     }
@@ -493,7 +538,6 @@
         expected_run_time: step.estimate,
         percent: 0,
         listed_at: at,
-        start_sends: 0,
         is_start_uncertain: false,
         start_deadline: None,
         is_evicted: false,
--- a/core/src/batch/round.rs
+++ b/core/src/batch/round.rs
@@ -44,6 +44,10 @@
 /// Base interval between two rounds while units are waiting.
 const BACKLOG_INTERVAL: TimeSpan = TimeSpan(20);
 
+/// Number of workers that lengthen the interval between two rounds by 1 ms. Each round builds a
+/// table of all workers.
+const WORKERS_PER_INTERVAL_MS: usize = 250;
+
 /// Number of waiting units that lengthen the interval between two rounds by 1 ms. The cost of a
 /// round grows with them, and the control thread has other work.
 const UNITS_PER_INTERVAL_MS: usize = 32;
@@ -74,6 +78,8 @@
     pub overdue_units: Vec<(StepKey, String)>,
     /// Number of units that could not be placed.
     pub waiting_count: usize,
+    /// Jobs without a task to place, now or at a later time that is known.
+    pub settled_jobs: Vec<JobKey>,
 }
 
 /// State that the units of one round share.
@@ -109,18 +115,24 @@
         .retain(|_, reservation| at.since(reservation.reserved_at) < RESERVATION_TTL);
     let plan = plan_round(state, at);
     if let Some(planner) = &mut state.planner {
-        planner.next_round_at = at + round_interval(plan.waiting_count);
+        let interval = round_interval(plan.waiting_count, planner.workers.len());
+        planner.next_round_at = at + interval;
+        for job in &plan.settled_jobs {
+            planner.waiting_jobs.swap_remove(job);
+        }
     }
     apply_plan::apply_plan(state, plan, context);
 }
 
-/// Returns the interval until the next round.
-fn round_interval(waiting_count: usize) -> TimeSpan {
+/// Returns the interval until the next round, which covers the cost of a round.
+fn round_interval(waiting_count: usize, worker_count: usize) -> TimeSpan {
+    let to_span = |ms: usize| TimeSpan(u64::try_from(ms).unwrap_or(u64::MAX));
+    let interval = to_span(worker_count / WORKERS_PER_INTERVAL_MS);
     if waiting_count == 0 {
-        return TimeSpan(0);
+        return interval;
     }
-    let extra_ms = u64::try_from(waiting_count / UNITS_PER_INTERVAL_MS).unwrap_or(u64::MAX);
-    BACKLOG_INTERVAL + TimeSpan(extra_ms)
+    let extra = to_span(waiting_count / UNITS_PER_INTERVAL_MS);
+    interval + BACKLOG_INTERVAL + extra
 }
 
 /// Returns whether all workers have listed their runs, or the wait for that is over.
@@ -139,13 +151,20 @@
         return RoundPlan::default();
     };
     let mut units = Vec::new();
-    for job in &planner.open_jobs {
-        if let Some(entry) = state.view.jobs.get(job) {
-            unit::collect_waiting_units(*job, entry, planner, at, &mut units);
+    let mut settled_jobs = Vec::new();
+    for job in &planner.waiting_jobs {
+        let entry = state.view.jobs.get(job);
+        let is_waiting = entry
+            .is_some_and(|entry| unit::collect_waiting_units(*job, entry, planner, at, &mut units));
+        if !is_waiting {
+            settled_jobs.push(*job);
         }
     }
     if units.is_empty() {
-        return RoundPlan::default();
+        return RoundPlan {
+            settled_jobs,
+            ..RoundPlan::default()
+        };
     }
     let guaranteed_jobs = guarantee::guaranteed_jobs(state, planner);
     for unit in &mut units {
@@ -161,7 +180,10 @@
         infeasible_shapes: InfeasibleShapes::default(),
         gang_costs: OnceCell::new(),
         preemptible: OnceCell::new(),
-        plan: RoundPlan::default(),
+        plan: RoundPlan {
+            settled_jobs,
+            ..RoundPlan::default()
+        },
     };
     // Units within a guarantee are planned before the reservations of borrowing units apply.
     let first_borrowing = units.partition_point(|unit| unit.is_guaranteed);
--- a/core/src/batch/session.rs
+++ b/core/src/batch/session.rs
@@ -105,8 +105,6 @@
     pub percent: u32,
     /// When the worker last listed the run; the creation time of the slot before that.
     pub listed_at: ClockTime,
-    /// How many times the start order was sent.
-    pub start_sends: u32,
     /// Whether an unanswered start order may still be carried out.
     pub is_start_uncertain: bool,
     /// Deadline of the start orders of this run; absent before the first one, and once another
--- a/core/src/batch/starts.rs
+++ b/core/src/batch/starts.rs
@@ -10,8 +10,8 @@
 use crate::batch::planner;
 use crate::batch::planner::OrderKind;
 use crate::batch::planner::PendingOrder;
+use crate::batch::planner::PlannerState;
 use crate::batch::session::RunPhase;
-use crate::batch::session::WorkerSession;
 use crate::batch::state::BatchState;
 use crate::batch::stops::PROBE_DELAY;
 use crate::context::StepContext;
@@ -19,13 +19,11 @@
 use crate::effect::MetricName;
 use crate::ids::WorkerName;
 use crate::units::ClockTime;
+use crate::units::TimeSpan;
 
-/// Maximum number of start orders for a gang member. The other members wait for it and end with
-/// `Alone` if it takes too long.
-const MAX_MEMBER_SENDS: u32 = 2;
-
-/// Maximum number of start orders for an independent task.
-const MAX_TASK_SENDS: u32 = 3;
+/// Time for the response to a start order. It leaves time for two more sends within the validity of
+/// the order.
+const START_TIMEOUT: TimeSpan = TimeSpan(400);
 
 /// Sends the start order of a run whose placement was read back, or withdraws the placement if the
 /// worker is no longer available.
@@ -86,9 +84,8 @@
     };
     slot.phase = RunPhase::Starting;
     slot.since = at;
-    slot.start_sends += 1;
     slot.start_deadline = Some(deadline);
-    let timeout = orders::order_timeout(slot.start_sends).min(deadline.expires_at.since(at));
+    let timeout = START_TIMEOUT.min(deadline.expires_at.since(at));
     let kind = OrderKind::Start(run);
     orders::send(planner, worker, kind, order, timeout, context);
 }
@@ -143,15 +140,9 @@
         OrderOutcome::Undelivered | OrderOutcome::Refused { .. } => {}
     }
     let is_refused = matches!(outcome, OrderOutcome::Refused { .. });
-    let max_sends = if slot.is_gang_member {
-        MAX_MEMBER_SENDS
-    } else {
-        MAX_TASK_SENDS
-    };
     let deadline = slot.start_deadline;
     let is_valid = deadline.is_some_and(|deadline| context.at < deadline.expires_at);
     let can_resend = is_current && is_valid && !is_refused && !slot.is_evicted;
-    let can_resend = can_resend && slot.start_sends < max_sends;
     if slot.phase != RunPhase::Starting {
         return;
     }
@@ -188,7 +179,7 @@
     }
     if slot.start_deadline.is_some() {
         slot.phase = RunPhase::Unconfirmed;
-        schedule_probe(session, context.at);
+        schedule_probe(planner, worker, context.at);
     } else {
         slot.is_evicted = true;
         planner.is_reconcile_due = true;
@@ -196,7 +187,10 @@
 }
 
 /// Schedules a probe, no earlier than `earliest`, if the worker has starts to settle.
-pub fn schedule_probe(session: &mut WorkerSession, earliest: ClockTime) {
+pub fn schedule_probe(planner: &mut PlannerState, worker: &WorkerName, earliest: ClockTime) {
+    let Some(session) = planner.workers.get_mut(worker) else {
+        return;
+    };
     let slots = session.runs.values();
     let unconfirmed = slots.filter(|slot| slot.phase == RunPhase::Unconfirmed);
     let deadlines = unconfirmed.filter_map(|slot| slot.start_deadline);
@@ -204,5 +198,7 @@
         return;
     };
     let probe_at = earliest.max(expires_at + PROBE_DELAY);
-    session.probe_at = Some(session.probe_at.map_or(probe_at, |due| due.min(probe_at)));
+    let probe_at = session.probe_at.map_or(probe_at, |due| due.min(probe_at));
+    session.probe_at = Some(probe_at);
+    planner.due_workers.insert((probe_at, worker.clone()));
 }
--- a/core/src/batch/step.rs
+++ b/core/src/batch/step.rs
@@ -98,6 +98,7 @@
     if let Some(planner) = &mut state.planner {
         planner.is_dirty = true;
         planner.is_reconcile_due = true;
+        planner.is_scan_due = true;
     }
     finish_stop(state, context);
 }
--- a/core/src/batch/stops.rs
+++ b/core/src/batch/stops.rs
@@ -35,7 +35,10 @@
     outcome: &OrderOutcome,
     context: &mut StepContext<'_>,
 ) {
-    let Some(session) = state.worker_mut(&order.worker) else {
+    let Some(planner) = &mut state.planner else {
+        return;
+    };
+    let Some(session) = planner.workers.get_mut(&order.worker) else {
         return;
     };
     let Some(slot) = session.runs.get_mut(&run) else {
@@ -46,7 +49,9 @@
         stop.answered_at = Some(context.at);
         // A pending hold returns when a run ends, but not for a run that never started.
         if slot.is_start_uncertain {
-            session.probe_at = Some(context.at + PROBE_DELAY);
+            let probe_at = context.at + PROBE_DELAY;
+            session.probe_at = Some(probe_at);
+            planner.due_workers.insert((probe_at, order.worker.clone()));
         }
     }
 }
--- a/core/src/batch/unit.rs
+++ b/core/src/batch/unit.rs
@@ -103,22 +103,24 @@
     }
 }
 
-/// Appends the waiting units of a job to `units`, in the order of its steps.
+/// Appends the waiting units of a job to `units`, in the order of its steps. Returns whether there
+/// are any, or will be at the time of a later occurrence.
 pub fn collect_waiting_units<'a>(
     job: JobKey,
     entry: &'a JobEntry,
     planner: &PlannerState,
     at: ClockTime,
     units: &mut Vec<WaitingUnit<'a>>,
-) {
+) -> bool {
     let Some(definition) = entry.open_definition() else {
-        return;
+        return false;
     };
+    let count = units.len();
     let submission = &definition.submission;
     for occurrence in 0..submission.occurrence_count() {
         let due_at = submission.scheduled_at(occurrence);
         if due_at.is_some_and(|due_at| due_at > at) {
-            break;
+            return true;
         }
         let ready_at = due_at.unwrap_or(definition.accepted_at);
         let allowed_ms = submission
@@ -159,6 +161,7 @@
             }
         }
     }
+    units.len() > count
 }
 
 fn waiting_members(
