Give a silent worker every chance to renew its lease

Cause: a hold at a worker whose last hold failed carried no lease, so two holds in a row had to arrive before the lease was extended.

Ruled out: a new lease for a silent worker. Unanswered holds would then count as extensions, and tasks of a lost worker would never be placed again (tasks_of_a_lost_worker_run_elsewhere).

Change: a silent worker with runs is offered the end of the lease that was requested last, by its holds and by probes every 0.2 s. Its runs go on if any of them arrives, and its lease expires no later than without them. The first answer is followed by a new lease at once.

--- a/core/src/batch/orders.rs
+++ b/core/src/batch/orders.rs
@@ -45,7 +45,7 @@
 /// Delay before a failed hold is sent again.
 const HOLD_RETRY_DELAY: TimeSpan = TimeSpan(150);
 
-/// Interval between probes of a worker until its unanswered starts are settled.
+/// Interval between probes of a worker that is silent or has unanswered starts.
 const PROBE_INTERVAL: TimeSpan = TimeSpan(200);
 
 /// Number of runs that lengthen the interval between two reconciliations by 1 ms.
@@ -224,14 +224,10 @@
     let Some(session) = planner.workers.get_mut(worker) else {
         return;
     };
-    // The lease of a silent worker is not renewed, so its expiry time does not change.
     let has_answered = session.hold.failures == 0;
-    let lease_end = session
-        .lease_end(lease, context.at)
-        .filter(|_| has_answered && can_extend);
-    if let Some(end) = lease_end {
-        session.extend_lease(end);
-    }
+    let lease_end = can_extend
+        .then(|| session.renew_lease(lease, context.at))
+        .flatten();
     let is_clock_known = session.clock_reading.is_some();
     let can_wait = session.has_listed && session.unrecorded_ends.is_empty() && is_clock_known;
     let wait = if !can_wait || !has_answered {
@@ -274,6 +270,9 @@
         session.hold.failures += 1;
         session.hold.due_at = due_at;
         planner.due_workers.insert((due_at, order.worker.clone()));
+        if !session.runs.is_empty() {
+            session.schedule_probe(due_at);
+        }
         if session.hold.failures == SILENT_FAILURES {
             let line = format!("worker={} outcome=silent reason={outcome:?}", order.worker);
             context.warn(LogTarget::Lease, line);
@@ -336,8 +335,11 @@
     }
 }
 
-/// Requests the run lists without waiting for the hold.
+/// Requests the run lists and renews the lease without waiting for the hold.
 fn send_probe(state: &mut BatchState, worker: &WorkerName, context: &mut StepContext<'_>) {
+    let at = context.at;
+    let lease = lease_duration(state);
+    let can_extend = state.can_extend_leases(at);
     let Some(planner) = &mut state.planner else {
         return;
     };
@@ -345,11 +347,22 @@
         return;
     };
     session.probe_at = None;
+    let lease_end = can_extend.then(|| session.renew_lease(lease, at)).flatten();
     let order = WorkerOrder::Hold {
-        lease_end: None,
+        lease_end,
         acknowledged_end: session.acknowledged_end(),
         wait: TimeSpan(0),
     };
+    // A probe can be lost like the hold or the start that it replaces, so the next one does not
+    // wait for its answer.
+    let next_at = at + PROBE_INTERVAL;
+    if session.hold.failures > 0 && !session.runs.is_empty() {
+        session.schedule_probe(next_at);
+    }
+    starts::probe_unconfirmed(session, next_at);
+    if let Some(probe_at) = session.probe_at {
+        planner.due_workers.insert((probe_at, worker.clone()));
+    }
     send(
         planner,
         worker,
@@ -358,8 +371,6 @@
         ORDER_TIMEOUT,
         context,
     );
-    // A probe can be lost like the start that it is to settle, so the next one does not wait for it.
-    starts::schedule_probe(planner, worker, context.at + PROBE_INTERVAL);
 }
 
 fn handle_probe_outcome(
@@ -368,10 +379,27 @@
     outcome: &OrderOutcome,
     context: &mut StepContext<'_>,
 ) {
-    if let OrderOutcome::Done {
+    let OrderOutcome::Done {
         lists: Some(lists), ..
     } = outcome
-    {
-        lists::apply_lists(state, &order.worker, order.sent_at, lists, context);
+    else {
+        return;
+    };
+    let session = state.worker_mut(&order.worker);
+    let was_silent = session.is_some_and(|session| session.hold.failures > 0);
+    lists::apply_lists(state, &order.worker, order.sent_at, lists, context);
+    if !was_silent {
+        return;
+    }
+    let Some(planner) = &mut state.planner else {
+        return;
+    };
+    planner.is_dirty = true;
+    if let Some(session) = planner.workers.get_mut(&order.worker) {
+        session.hold.failures = 0;
+        session.hold.answered_at = Some(context.at);
+        session.hold.due_at = context.at;
     }
+    // The hold may be in flight for another second. Its own lease is an earlier one.
+    send_probe(state, &order.worker, context);
 }
--- a/core/src/batch/session.rs
+++ b/core/src/batch/session.rs
@@ -148,6 +148,8 @@
     pub clock_reading: Option<(u64, ClockTime)>,
     /// Time after which all runs on the worker have ended unless the lease is renewed.
     pub lease_expires_at: ClockTime,
+    /// The latest end of the lease that was requested, in milliseconds of the worker's clock.
+    requested_lease_end: u64,
     /// Whether the worker has listed its runs in this term. Reset when its runs are removed as
     /// lost.
     pub has_listed: bool,
@@ -184,6 +186,7 @@
             incarnation,
             clock_reading: None,
             lease_expires_at: at,
+            requested_lease_end: 0,
             has_listed: false,
             last_end: 0,
             unrecorded_ends: IndexSet::new(),
@@ -240,9 +243,24 @@
     pub fn extend_lease(&mut self, end: u64) {
         if let Some(reached_at) = self.certainly_reached(end) {
             self.lease_expires_at = self.lease_expires_at.max(reached_at);
+            self.requested_lease_end = self.requested_lease_end.max(end);
         }
     }
 
+    /// Returns the end of the lease for the next hold, in milliseconds of the worker's clock, and
+    /// extends the lease if the worker answers.
+    ///
+    /// A silent worker is offered the end that was requested last. Its runs go on if any of the
+    /// holds arrives, and its lease expires no later than without them.
+    pub fn renew_lease(&mut self, lease: TimeSpan, at: ClockTime) -> Option<u64> {
+        if self.hold.failures > 0 {
+            return (self.requested_lease_end > 0).then_some(self.requested_lease_end);
+        }
+        let end = self.lease_end(lease, at)?;
+        self.extend_lease(end);
+        Some(end)
+    }
+
     /// Returns the deadline of a start order that is sent now, or `None` before the first reading
     /// of the worker's clock.
     #[must_use]
@@ -324,6 +342,11 @@
             && at >= self.backoff_until
     }
 
+    /// Schedules a probe at the given time, unless one is due before.
+    pub fn schedule_probe(&mut self, at: ClockTime) {
+        self.probe_at = Some(self.probe_at.map_or(at, |due| due.min(at)));
+    }
+
     /// Returns whether the worker left an order unanswered a short time ago. Other workers are
     /// preferred then, because each order that it ignores costs the time until it is settled.
     #[must_use]
--- a/core/src/batch/starts.rs
+++ b/core/src/batch/starts.rs
@@ -10,8 +10,8 @@
 use crate::batch::planner;
 use crate::batch::planner::OrderKind;
 use crate::batch::planner::PendingOrder;
-use crate::batch::planner::PlannerState;
 use crate::batch::session::RunPhase;
+use crate::batch::session::WorkerSession;
 use crate::batch::state::BatchState;
 use crate::batch::stops::PROBE_DELAY;
 use crate::context::StepContext;
@@ -179,7 +179,10 @@
     }
     if slot.start_deadline.is_some() {
         slot.phase = RunPhase::Unconfirmed;
-        schedule_probe(planner, worker, context.at);
+        probe_unconfirmed(session, context.at);
+        if let Some(probe_at) = session.probe_at {
+            planner.due_workers.insert((probe_at, worker.clone()));
+        }
     } else {
         slot.is_evicted = true;
         planner.is_reconcile_due = true;
@@ -187,18 +190,11 @@
 }
 
 /// Schedules a probe, no earlier than `earliest`, if the worker has starts to settle.
-pub fn schedule_probe(planner: &mut PlannerState, worker: &WorkerName, earliest: ClockTime) {
-    let Some(session) = planner.workers.get_mut(worker) else {
-        return;
-    };
+pub fn probe_unconfirmed(session: &mut WorkerSession, earliest: ClockTime) {
     let slots = session.runs.values();
     let unconfirmed = slots.filter(|slot| slot.phase == RunPhase::Unconfirmed);
     let deadlines = unconfirmed.filter_map(|slot| slot.start_deadline);
-    let Some(expires_at) = deadlines.map(|deadline| deadline.expires_at).min() else {
-        return;
-    };
-    let probe_at = earliest.max(expires_at + PROBE_DELAY);
-    let probe_at = session.probe_at.map_or(probe_at, |due| due.min(probe_at));
-    session.probe_at = Some(probe_at);
-    planner.due_workers.insert((probe_at, worker.clone()));
+    if let Some(expires_at) = deadlines.map(|deadline| deadline.expires_at).min() {
+        session.schedule_probe(earliest.max(expires_at + PROBE_DELAY));
+    }
 }
