Draw refused connections, severed links, slow appends and spoiled entries

A second set of draws adds them, and a suspension of the planner of 0.5 to 7 s; the draws of the first set stay as they are.

--- a/standin/tests/batch_interleavings.rs
+++ b/standin/tests/batch_interleavings.rs
@@ -12,6 +12,8 @@
 
 use mustardpath_core::batch::job::JobKey;
 use mustardpath_core::batch::job::JobSubmission;
+use mustardpath_core::batch::message::StoreStream;
+use mustardpath_core::batch::message::StreamChange;
 use mustardpath_core::ids::WorkerName;
 use mustardpath_core::units::TimeSpan;
 use mustardpath_standin::batch::simulation::BatchSimulation;
@@ -20,6 +22,9 @@
 /// Number of seeds of a run in CI.
 const SEED_COUNT: u64 = 400;
 
+/// Number of seeds with the extended faults of a run in CI.
+const EXTENDED_SEED_COUNT: u64 = 200;
+
 /// Seeds that have found a fault:
 /// - 23704: a planner that resumed after a pause repeated an unanswered start although it had been
 ///   replaced, and the worker, which had restarted, accepted it.
@@ -65,6 +70,80 @@
     WorkerName::from(format!("w{}", rng.u32(0..WORKER_COUNT)).as_str())
 }
 
+/// The kinds of faults that a run draws from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum FaultSet {
+    /// Faults of processes, of the store and of whole links.
+    Basic,
+    /// Also cuts that refuse connections or sever single links, a slow store, suspensions around a
+    /// change of the planner, and entries that another writer has spoiled.
+    Extended,
+}
+
+/// Writes an entry over that of a worker, as another writer could.
+fn spoil_entry(simulation: &mut BatchSimulation, worker: &WorkerName, rng: &mut Rng) {
+    let mut entry = simulation.workers[worker].entry.clone();
+    match rng.u32(0..5) {
+        0 => entry.address = "10.9.0.1:0".into(),
+        1 => entry.address = format!("10.9.0.{}:80", rng.u32(0..WORKER_COUNT)),
+        2 => entry.capacity.cpu = u64::MAX,
+        3 => entry.incarnation = u64::MAX,
+        _ => entry.labels = vec!["a".into(); 1_000],
+    }
+    let change = if rng.bool() {
+        StreamChange::Worker {
+            worker: worker.clone(),
+            entry: Some(Box::new(entry)),
+        }
+    } else {
+        StreamChange::Unreadable {
+            key: worker.to_string(),
+            reason: "not JSON".into(),
+        }
+    };
+    let stream = StoreStream::Workers;
+    simulation
+        .store
+        .write(stream, worker.as_str(), change, false);
+}
+
+fn inject_extended_fault(simulation: &mut BatchSimulation, rng: &mut Rng) {
+    let daemon = rng.usize(0..DAEMON_COUNT);
+    let worker = random_worker(rng);
+    match rng.u32(0..8) {
+        0 => {
+            simulation.faults.refusing_workers.insert(worker);
+        }
+        1 => {
+            simulation.faults.severed_links.insert((daemon, worker));
+        }
+        2 => {
+            let planner = simulation.planner().unwrap_or(daemon);
+            simulation.faults.partitioned_daemons.insert(planner);
+            for other in (0..DAEMON_COUNT).filter(|other| *other != planner) {
+                let link = (other, random_worker(rng));
+                simulation.faults.severed_links.insert(link);
+            }
+        }
+        3 => simulation.faults.append_time = TimeSpan(rng.u64(50..400)),
+        4 => simulation.faults.are_appends_dropped = true,
+        5 => {
+            let planner = simulation.planner().unwrap_or(daemon);
+            simulation.set_paused(planner, true);
+            simulation.advance(TimeSpan(rng.u64(500..7_000)));
+            simulation.set_paused(planner, false);
+        }
+        6 => spoil_entry(simulation, &worker, rng),
+        _ => {
+            simulation.faults.append_time = TimeSpan(0);
+            simulation.faults.are_appends_dropped = false;
+            simulation.faults.refusing_workers.clear();
+            simulation.faults.severed_links.clear();
+            simulation.faults.partitioned_daemons.clear();
+        }
+    }
+}
+
 fn inject_fault(simulation: &mut BatchSimulation, rng: &mut Rng) {
     let daemon = rng.usize(0..DAEMON_COUNT);
     let worker = random_worker(rng);
@@ -126,7 +205,7 @@
 }
 
 /// Returns the violations of one seed, and its trace or an empty list.
-fn run_seed(seed: u64, is_traced: bool) -> (Vec<String>, Vec<String>) {
+fn run_seed(seed: u64, set: FaultSet, is_traced: bool) -> (Vec<String>, Vec<String>) {
     let mut rng = Rng::with_seed(seed);
     let mut simulation = simulations::simulation(seed, DAEMON_COUNT, WORKER_COUNT);
     simulation.set_teams(&TEAMS);
@@ -160,6 +239,9 @@
                 let job = jobs[rng.usize(0..jobs.len())];
                 simulation.cancel(rng.usize(0..DAEMON_COUNT), job);
             }
+            _ if set == FaultSet::Extended && rng.bool() => {
+                inject_extended_fault(&mut simulation, &mut rng);
+            }
             _ => inject_fault(&mut simulation, &mut rng),
         }
     }
@@ -172,11 +254,11 @@
     std::env::var(variable).ok()?.parse().ok()
 }
 
-fn run_seeds(seeds: impl Iterator<Item = u64>) {
+fn run_seeds(seeds: impl Iterator<Item = u64>, set: FaultSet) {
     let is_traced = std::env::var("INTERLEAVINGS_TRACE").is_ok();
     let mut failures = Vec::new();
     for seed in seeds {
-        let (violations, trace) = run_seed(seed, is_traced);
+        let (violations, trace) = run_seed(seed, set, is_traced);
         if !violations.is_empty() {
             failures.push(format!(
                 "seed {seed}: {violations:#?}\n{}",
@@ -197,11 +279,20 @@
 fn random_interleavings_preserve_invariants() {
     let first = env_number("FIRST_SEED").unwrap_or(0);
     let count = env_number("INTERLEAVINGS").unwrap_or(SEED_COUNT);
-    run_seeds(first..first + count);
+    run_seeds(first..first + count, FaultSet::Basic);
+}
+
+/// Guards against violations by a planner that acts after its term has ended, by a worker that is
+/// only hard to reach, and by entries of other writers.
+#[test]
+fn extended_interleavings_preserve_invariants() {
+    let first = env_number("FIRST_SEED").unwrap_or(0);
+    let count = env_number("INTERLEAVINGS").unwrap_or(EXTENDED_SEED_COUNT);
+    run_seeds(first..first + count, FaultSet::Extended);
 }
 
 /// Guards against the return of faults that random seeds have found.
 #[test]
 fn regression_seeds_preserve_invariants() {
-    run_seeds(REGRESSION_SEEDS.into_iter());
+    run_seeds(REGRESSION_SEEDS.into_iter(), FaultSet::Basic);
 }
