--- a/standin/src/batch/simulation.rs
+++ b/standin/src/batch/simulation.rs
@@ -37,6 +37,7 @@
 use mustardpath_core::batch::message::StreamChange;
 use mustardpath_core::batch::message::WorkerOrder;
 use mustardpath_core::batch::message::WriterIdentity;
+use mustardpath_core::batch::planner::PlannerState;
 use mustardpath_core::batch::record::BatchRecord;
 use mustardpath_core::config::KeyDigest;
 use mustardpath_core::event::EventInput;
@@ -273,6 +274,13 @@
         planners.max().map(|(_, daemon)| daemon)
     }
 
+    /// Returns the state of the planner with the newest term.
+    #[must_use]
+    pub fn planner_state(&self) -> Option<&PlannerState> {
+        let state = self.daemons[self.planner()?].state.as_ref()?;
+        state.batch.as_ref()?.planner.as_deref()
+    }
+
     /// Submits a job to a daemon. A daemon that is down drops the submission.
     pub fn submit(&mut self, daemon: usize, job: JobKey, submission: JobSubmission) {
         let checked_job = self.checker.jobs.entry(job).or_insert_with(|| CheckedJob {
--- a/standin/tests/batch_load.rs
+++ b/standin/tests/batch_load.rs
@@ -93,6 +93,45 @@
     );
 }
 
+/// Guards against rounds that look at all open jobs, and against orders that are sent only after a
+/// look at all workers: at 3,000 workers a planner spent its processor time on both.
+#[test]
+fn a_planner_looks_only_at_what_changed() {
+    const JOBS: u64 = 100;
+    let mut simulation = simulations::simulation(9, 3, 200);
+    for number in 0..JOBS {
+        let job = simulations::key(number);
+        let run_time = TimeSpan(5_000 + number * 100);
+        simulation.job_behavior.insert(job, (run_time, false));
+        simulation.submit(0, job, simulations::job(vec![simulations::step(2, 1)]));
+    }
+    simulation.advance(TimeSpan(2_000));
+    let planner = simulation.planner_state().expect("there is a planner");
+    assert_eq!(planner.open_jobs.len() as u64, JOBS);
+    assert_eq!(planner.waiting_jobs.len(), 0, "all tasks are placed");
+    assert_eq!(planner.due_workers.len(), 0, "all holds are in flight");
+    let mut second = simulations::step(1, 1);
+    second.after = vec![0];
+    let waiting = simulations::key(JOBS);
+    let submission = simulations::job(vec![simulations::step(1, 1), second]);
+    simulation
+        .job_behavior
+        .insert(waiting, (TimeSpan(500), false));
+    simulation.submit(0, waiting, submission);
+    simulation.advance(TimeSpan(2_000));
+    assert_eq!(simulation.phase(waiting), Some(JobPhase::Completed));
+    let planner = simulation.planner_state().expect("there is a planner");
+    assert_eq!(planner.waiting_jobs.len(), 0, "all tasks are placed");
+    simulation.advance(TimeSpan(16_000));
+    let last = simulations::key(JOBS - 1);
+    assert_eq!(simulation.phase(last), Some(JobPhase::Completed));
+    assert!(
+        simulation.checker.violations.is_empty(),
+        "{:#?}",
+        simulation.checker.violations
+    );
+}
+
 /// Guards against urgent tasks that wait for the answer of a worker that ignores its orders. Each
 /// order is carried out late with a probability of 0.6, so of three sends within the validity of a
 /// start one arrives with a probability of 0.78, and two attempts fail for 5 of 100 tasks. Nine of
