Acknowledge ends only in holds to workers that answer

Found by a draw (extended set): a task that had completed was started again.

Cause: a probe carries the number up to which the worker may discard its ends. Probes that settle unanswered starts are sent while the hold is still in flight, so a worker that had started again in between got the number of its earlier incarnation and discarded an end of its own that no planner had seen.

Ruled out: the ends of the earlier incarnation, which were recorded.

Change: probes acknowledge nothing, nor do holds to a worker that has not answered the last one. Its ends are acknowledged by the next hold.

Measured: the seed fails without the change and passes with it (regression_seeds_preserve_invariants).

--- a/core/src/batch/orders.rs
+++ b/core/src/batch/orders.rs
@@ -336,6 +336,9 @@
 }
 
 /// Requests the run lists and renews the lease without waiting for the hold.
+///
+/// A probe acknowledges no ends: it is sent while the worker may have started again, and its next
+/// incarnation numbers its ends anew.
 fn send_probe(state: &mut BatchState, worker: &WorkerName, context: &mut StepContext<'_>) {
     let at = context.at;
     let lease = lease_duration(state);
@@ -350,7 +353,7 @@
     let lease_end = can_extend.then(|| session.renew_lease(lease, at)).flatten();
     let order = WorkerOrder::Hold {
         lease_end,
-        acknowledged_end: session.acknowledged_end(),
+        acknowledged_end: 0,
         wait: TimeSpan(0),
     };
     // A probe can be lost like the hold or the start that it replaces, so the next one does not
--- a/core/src/batch/session.rs
+++ b/core/src/batch/session.rs
@@ -290,12 +290,16 @@
     }
 
     /// Returns the number up to which the worker may discard its ends, or 0 when it has already
-    /// discarded them.
+    /// discarded them or is silent.
     ///
     /// A hold can reach a later incarnation of the worker, which numbers its ends anew. The value 0
-    /// makes such a hold discard nothing.
+    /// makes such a hold discard nothing. A worker that has not answered the last hold may have
+    /// started again meanwhile.
     #[must_use]
     pub fn acknowledged_end(&self) -> u64 {
+        if self.hold.failures > 0 {
+            return 0;
+        }
         let first = self.unrecorded_ends.iter().min();
         let last = first.map_or(self.last_end, |first| first - 1);
         if last > self.discarded_end { last } else { 0 }
--- a/standin/tests/batch_interleavings.rs
+++ b/standin/tests/batch_interleavings.rs
@@ -36,6 +36,11 @@
 ///   which then discarded an end that no planner had seen.
 const REGRESSION_SEEDS: [u64; 4] = [23_704, 24_922, 26_882, 43_009];
 
+/// Seeds with the extended faults that have found a fault:
+/// - 101005: a probe acknowledged ends of one incarnation of a worker and reached the next one, which
+///   then discarded an end that no planner had seen.
+const EXTENDED_REGRESSION_SEEDS: [u64; 1] = [101_005];
+
 /// Number of actions per seed.
 const ACTION_COUNT: u32 = 40;
 
@@ -295,4 +300,5 @@
 #[test]
 fn regression_seeds_preserve_invariants() {
     run_seeds(REGRESSION_SEEDS.into_iter(), FaultSet::Basic);
+    run_seeds(EXTENDED_REGRESSION_SEEDS.into_iter(), FaultSet::Extended);
 }
