Start stopping daemons again at the end of a simulation

Cause: the check at the end of a simulation starts all daemons, but not those that are still stopping.

Change: a daemon that is stopping is killed and started again. The checks of the jobs are the same.

--- a/standin/src/batch/simulation.rs
+++ b/standin/src/batch/simulation.rs
@@ -334,6 +334,10 @@
         self.faults = BatchFaults::default();
         for daemon in 0..self.daemons.len() {
             self.set_paused(daemon, false);
+            // A daemon that is stopping would exit later and not be started again.
+            if self.is_stopping(daemon) {
+                self.kill(daemon);
+            }
             self.start(daemon);
         }
         let names: Vec<WorkerName> = self.workers.keys().cloned().collect();
@@ -358,6 +362,12 @@
         self.checker.check_phases(&phases, MAX_ATTEMPTS);
     }
 
+    fn is_stopping(&self, daemon: usize) -> bool {
+        let state = self.daemons[daemon].state.as_ref();
+        let batch = state.and_then(|state| state.batch.as_ref());
+        batch.is_some_and(|batch| batch.stopping.is_some())
+    }
+
     /// Publishes teams with their guaranteed number of accelerators. The API key of a team is its
     /// name.
     pub fn set_teams(&mut self, guarantees: &[(&str, u64)]) {
