Expect the longest lease at a worker that has started again

Found by draws (205545 of the basic set, 204335 of the extended one): a task ran twice.

Cause: until the planner learns that a worker has started again, its orders carry ends of leases in the time of the old process's clock. The new process, whose clock starts anew, takes them for far in the future and grants the longest lease. The planner counted the lease by the old clock, gave the runs up 1.6 s after their start while no hold was answered, and started them elsewhere.

Ruled out: the short validity of starts, and the entry that was gone at the time; either only let the lease expire by the planner's count.

Change: when a worker has started again, its runs are given up no earlier than the longest lease from then on.

--- a/core/src/batch/lists.rs
+++ b/core/src/batch/lists.rs
@@ -26,6 +26,7 @@
     lists: &WorkerLists,
     context: &mut StepContext<'_>,
 ) {
+    let max_lease = state.settings.max_lease;
     let Some(session) = state.worker_mut(worker) else {
         return;
     };
@@ -35,7 +36,7 @@
     {
         let line = format!("worker={worker} born={incarnation} outcome=new_incarnation");
         context.warn(LogTarget::Lease, line);
-        session.restart(incarnation, context.at);
+        session.restart(incarnation, max_lease, context.at);
     }
     session.has_listed = true;
     for row in &lists.running {
--- a/core/src/batch/orders.rs
+++ b/core/src/batch/orders.rs
@@ -286,10 +286,10 @@
         );
         if is_other_incarnation {
             // An address that was never confirmed may be the one of another worker.
-            let has_listed = session.hold.answered_at.is_some();
+            let has_answered = session.hold.answered_at.is_some();
             session.entry = None;
             session.address = None;
-            if has_listed {
+            if has_answered {
                 let reason = "another process answers at its address";
                 completion::handle_lost_worker(state, &order.worker, reason, context);
             }
--- a/core/src/batch/planner.rs
+++ b/core/src/batch/planner.rs
@@ -462,7 +462,7 @@
             entry.incarnation
         );
         context.warn(LogTarget::Lease, line);
-        session.restart(entry.incarnation, context.at);
+        session.restart(entry.incarnation, state.settings.max_lease, context.at);
     }
     let last_condition = session.entry.as_ref().map(|entry| entry.condition);
     if last_condition != Some(entry.condition) {
--- a/core/src/batch/session.rs
+++ b/core/src/batch/session.rs
@@ -204,12 +204,15 @@
     /// Replaces the session by one for a new incarnation.
     ///
     /// Recent orders may have reached the new process, so its first list determines which runs are
-    /// kept.
-    pub fn restart(&mut self, incarnation: u64, at: ClockTime) {
+    /// kept. The ends of their leases are times of the old process's clock, which the new one can
+    /// take for the longest lease.
+    pub fn restart(&mut self, incarnation: u64, max_lease: TimeSpan, at: ClockTime) {
         let mut next = Self::new(incarnation, at);
         next.address = self.address.take();
         next.entry = self.entry.take();
-        next.lease_expires_at = self.lease_expires_at;
+        next.lease_expires_at = self
+            .lease_expires_at
+            .max(at + Self::longest_lease(max_lease));
         next.runs = std::mem::take(&mut self.runs);
         if let Some(entry) = &mut next.entry {
             entry.incarnation = incarnation;
--- a/standin/tests/batch_interleavings.rs
+++ b/standin/tests/batch_interleavings.rs
@@ -34,12 +34,15 @@
 ///   worker, and runs that continued there were started again.
 /// - 43009: a hold that acknowledged ends of one incarnation of a worker reached the next one,
 ///   which then discarded an end that no planner had seen.
-const REGRESSION_SEEDS: [u64; 4] = [23_704, 24_922, 26_882, 43_009];
+/// - 205545: the lease of a worker that had started again was longer than the planner believed, and
+///   its runs were given up while they went on.
+const REGRESSION_SEEDS: [u64; 5] = [23_704, 24_922, 26_882, 43_009, 205_545];
 
 /// Seeds with the extended faults that have found a fault:
 /// - 101005: a probe acknowledged ends of one incarnation of a worker and reached the next one, which
 ///   then discarded an end that no planner had seen.
-const EXTENDED_REGRESSION_SEEDS: [u64; 1] = [101_005];
+/// - 204335: as 205545 above.
+const EXTENDED_REGRESSION_SEEDS: [u64; 2] = [101_005, 204_335];
 
 /// Number of actions per seed.
 const ACTION_COUNT: u32 = 40;
