--- a/review/3/run.py
+++ b/review/3/run.py
@@ -18,6 +18,7 @@
 BYTES_PER_S = 10e6 / 8
 ROUTES = 1400
 CALL_PAUSE_S = 0.01
+CALLERS = 4
 
 
 def routes(label):
@@ -51,6 +52,11 @@
     planner = store.planner()
     index = next(i for i, daemon in enumerate(deployment.daemons) if daemon.name != planner)
     daemon, link = deployment.daemons[index], deployment.links[index]
+    # The callers' channels are open before the trouble, and stay with their daemon.
+    channels = [platform.Channel(daemon.front) for _ in range(CALLERS)]
+    for channel in channels:
+        status, body = await channel.call("GET", "/q1/", HOST_NAME, REVOKED)
+        record.line(f"caller GET /q1/ {status} {body}")
     if trouble:
         link.refusing = True
         record.line(f"the store turns {daemon.name} away")
@@ -62,8 +68,7 @@
     sent = []
     stop = asyncio.Event()
 
-    async def call(number):
-        channel = platform.Channel(daemon.front)
+    async def call(number, channel):
         count = 0
         while not stop.is_set():
             job = f"{number:04x}{count:012x}"
@@ -78,7 +83,8 @@
             await asyncio.sleep(CALL_PAUSE_S)
         channel.close()
 
-    callers = [asyncio.create_task(call(number)) for number in range(1, 5)]
+    callers = [asyncio.create_task(call(number, channel))
+               for number, channel in enumerate(channels, 1)]
     await asyncio.sleep(away_at + AWAY_S - record.now())
     link.refusing = False
     record.line(f"the store serves {daemon.name} again")
