Decide nothing on runs that a full list of ends leaves out

Cause: a worker returns 500 ends at a time, and `requeue_absent_runs` took the first 500 for all of them. A run whose end came later was neither running nor ended in that list, so it counted as lost.

Evidence: the log limiter had omitted the lines that tell how many runs were given up, so the line `outcome=runs_absent` comes first. Late orders of the old planner are ruled out, because the new planner placed attempt 2.

Such a list requeues nothing; its ends are recorded and acknowledged, and the hold that acknowledges them returns the following ones. A planner that stays in office had the same fault while more than 500 ends waited for the store.

--- a/core/src/batch/lists.rs
+++ b/core/src/batch/lists.rs
@@ -167,6 +167,9 @@
 
 /// Requeues the tasks of runs that are listed neither as running nor as ended, if the worker would
 /// have listed them.
+///
+/// A list that holds only the first ends shows nothing about the other runs. The next ones follow
+/// when these are acknowledged.
 fn requeue_absent_runs(
     state: &mut BatchState,
     worker: &WorkerName,
@@ -193,6 +196,21 @@
         is_certain && !is_running(run)
     });
     let absent: Vec<RunKey> = absent.map(|(run, _)| *run).collect();
+    if absent.is_empty() {
+        return;
+    }
+    let line = format!(
+        "worker={worker} outcome=runs_absent runs={} running={} ends={} last_end={} has_more_ends={}",
+        absent.len(),
+        lists.running.len(),
+        lists.ended.len(),
+        session.last_end,
+        lists.has_more_ends
+    );
+    context.warn(LogTarget::Gang, line);
+    if lists.has_more_ends {
+        return;
+    }
     for run in absent {
         completion::handle_lost_run(state, worker, run, context);
     }
--- a/core/src/batch/message.rs
+++ b/core/src/batch/message.rs
@@ -252,8 +252,11 @@
         pub incarnation: Option<u64>,
         /// Runs in progress.
         pub running: Vec<RunningRow>,
-        /// Ended runs that were not acknowledged.
+        /// Ended runs that were not acknowledged, in the order of their numbers.
         pub ended: Vec<EndedRow>,
+        /// Whether the worker may have more ends than it lists. A run that is missing from both
+        /// lists may then have ended.
+        pub has_more_ends: bool,
     }
 
     /// Reason for which a worker refused an order.
--- a/standin/src/batch/checker.rs
+++ b/standin/src/batch/checker.rs
@@ -12,6 +12,7 @@
 use mustardpath_core::batch::job::StepKey;
 use mustardpath_core::batch::job::TaskDemand;
 use mustardpath_core::batch::job::TaskKey;
+use mustardpath_core::batch::message::RunEnding;
 use mustardpath_core::ids::WorkerName;
 
 /// State of a job from its callers' point of view.
@@ -40,6 +41,9 @@
     pub completed: IndexSet<TaskKey>,
     /// Tasks of which the planner has acknowledged a `Done`. They must not start again.
     pub acknowledged_done: IndexSet<TaskKey>,
+    /// Runs that ended with `Done` before a later run of their task started. Their ends must not be
+    /// acknowledged afterwards.
+    pub restarted_done: IndexSet<RunKey>,
     /// Number of acknowledged `Failed` ends of each task.
     pub acknowledged_failures: IndexMap<TaskKey, u32>,
     /// Failed attempts of each task, acknowledged or not.
@@ -75,6 +79,12 @@
                 ));
             }
         }
+        for model in workers.values() {
+            let ended = model.ended.iter();
+            let done = ended.filter(|row| row.ending == RunEnding::Done);
+            let done = done.filter(|row| row.run.task == run.task);
+            self.restarted_done.extend(done.map(|row| row.run));
+        }
         if self.acknowledged_done.contains(&run.task) {
             self.violations
                 .push(format!("start of a completed task: {run}"));
@@ -121,6 +131,15 @@
         self.check_capacity(run, worker, workers, &demand);
     }
 
+    /// Checks an end with `Done` that is acknowledged and was kept under an unbroken lease: the task
+    /// has not started since.
+    pub fn check_acknowledged_done(&mut self, run: &RunKey) {
+        if self.restarted_done.contains(run) {
+            self.violations
+                .push(format!("a completed task was started again: {run}"));
+        }
+    }
+
     /// Checks the final phases of all jobs. An accepted job must have ended, and must have failed
     /// or been cancelled only with cause.
     pub fn check_phases(&mut self, phases: &IndexMap<JobKey, JobPhase>, max_attempts: u32) {
--- a/standin/src/batch/simulation/platform.rs
+++ b/standin/src/batch/simulation/platform.rs
@@ -229,6 +229,9 @@
                 for row in acknowledged {
                     if row.ending == RunEnding::Done && !is_lease_expired {
                         self.checker.acknowledged_done.insert(row.run.task);
+                        if row.number > model.lapsed_end {
+                            self.checker.check_acknowledged_done(&row.run);
+                        }
                     }
                     if row.ending == RunEnding::Failed {
                         *self
--- a/standin/src/batch/worker.rs
+++ b/standin/src/batch/worker.rs
@@ -19,6 +19,9 @@
 /// Time from a stop order to the end of the run.
 const STOP_DELAY: TimeSpan = TimeSpan(200);
 
+/// Maximum number of ends in a list.
+const MAX_LISTED_ENDS: usize = 500;
+
 /// Behavior of a worker towards orders and runs.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum WorkerBehavior {
@@ -68,6 +71,9 @@
     pub running: IndexMap<RunKey, SimulatedRun>,
     /// Ended runs that the planner has not acknowledged.
     pub ended: Vec<EndedRow>,
+    /// Number of the last end before the lease last expired. The planner may have run the tasks of
+    /// such ends again.
+    pub lapsed_end: u64,
     /// Highest attempt of each task that was stopped or has ended on this worker.
     closed_attempts: IndexMap<TaskKey, u32>,
     last_ended_number: u64,
@@ -92,6 +98,7 @@
             lease_end: 0,
             running: IndexMap::new(),
             ended: Vec::new(),
+            lapsed_end: 0,
             closed_attempts: IndexMap::new(),
             last_ended_number: 0,
         }
@@ -106,6 +113,9 @@
 
     /// Extends the lease to `end`, at most by [`BatchWorker::max_lease`]. The lease never shortens.
     pub fn extend_lease(&mut self, end: u64, at: ClockTime) {
+        if self.is_lease_expired(at) {
+            self.lapsed_end = self.last_ended_number;
+        }
         let longest = self.clock(at) + self.max_lease.0;
         self.lease_end = self.lease_end.max(end.min(longest));
     }
@@ -201,7 +211,8 @@
         WorkerLists {
             incarnation: Some(self.entry.incarnation),
             running: running.collect(),
-            ended: self.ended.clone(),
+            ended: self.ended.iter().take(MAX_LISTED_ENDS).cloned().collect(),
+            has_more_ends: self.ended.len() >= MAX_LISTED_ENDS,
         }
     }
 }
