Confirm a topic only by reads that reach its end

Cause: a read returns at most 300 KB of the operators' topic, and the reader took every answered read for a confirmation as of its request. One that was cut off before the record that revokes the key made the older version count as fresh until the newest records were loaded.

Evidence: the new line `outcome=cut_off`, on the unchanged decisions, shows `next=2 end=3` at the return of the store, version 2 in force with it and version 3 with the load 0.4 s later; all calls that ran fall between the two. Before the return the same channels got 503, which rules out a check that is skipped on open channels and an age that is not counted.

Change: a read confirms its topic only if it reaches the end that its response names. The topic of jobs had the same fault: a daemon behind by more than 1 MB took its view for current, answered "no such job" for jobs accepted long before and, as the planner, decided on the old view. The product's own log confirms only at its end already.

--- a/core/src/batch/reader.rs
+++ b/core/src/batch/reader.rs
@@ -199,10 +199,18 @@
                 end,
                 bytes,
             } => {
-                self.record_response(read.sent_at, context);
+                self.record_response(context);
                 self.next_offset = Some(*next);
+                if end > next {
+                    let line = format!(
+                        "topic={:?} outcome=cut_off next={next} end={end}",
+                        self.stream
+                    );
+                    context.info(LogTarget::Log, line);
+                } else {
+                    self.confirm(read, records.is_empty(), context.at);
+                }
                 if records.is_empty() {
-                    self.confirm_wait(read, context.at);
                     self.next_read_at = context.at;
                 } else {
                     self.next_read_at = context.at + policy.pause;
@@ -223,7 +231,7 @@
                 end,
                 bytes,
             } => {
-                self.record_response(read.sent_at, context);
+                self.record_response(context);
                 self.round_trip = context.at.since(read.sent_at);
                 let load = self.load.get_or_insert_default();
                 let requested_at = *load.requested_at.get_or_insert(read.sent_at);
@@ -308,23 +316,26 @@
         TimeSpan(LOAD_TIMEOUT.0 << self.failed_loads.min(MAX_LOAD_DOUBLINGS))
     }
 
-    /// Records that a read was answered. Its response reflects the topic no earlier than the time
-    /// of the request.
-    fn record_response(&mut self, requested_at: ClockTime, context: &mut StepContext<'_>) {
+    /// Records that a read was answered.
+    fn record_response(&mut self, context: &mut StepContext<'_>) {
         if self.healthy_since.is_none() {
             self.healthy_since = Some(context.at);
             context.info(LogTarget::Log, format!("topic={:?} in reach", self.stream));
         }
-        if !self.is_loading() {
-            self.confirmed_at = self.confirmed_at.max(Some(requested_at));
-        }
     }
 
-    /// Confirms the topic after a response without records, which the store sends at the end of the
-    /// long-poll wait.
-    fn confirm_wait(&mut self, read: PendingRead, at: ClockTime) {
-        let responded_at = (read.sent_at + read.wait).min(at);
-        self.confirmed_at = self.confirmed_at.max(Some(responded_at));
+    /// Confirms the topic after a response that reaches its end. A response that was cut off leaves
+    /// out records that can be older than the request.
+    ///
+    /// The response reflects the topic as of the request, or of the end of the long-poll wait if it
+    /// is empty.
+    fn confirm(&mut self, read: PendingRead, is_empty: bool, at: ClockTime) {
+        let reflected_at = if is_empty {
+            (read.sent_at + read.wait).min(at)
+        } else {
+            read.sent_at
+        };
+        self.confirmed_at = self.confirmed_at.max(Some(reflected_at));
     }
 
     fn handle_page(
