Place nothing on a new process of a worker before its entry is read

Cause: when the lists show a new process, `WorkerSession::restart` kept the entry of the old one and wrote the new start time into it. The worker counted as usable as soon as it had listed its runs, up to 0.3 s before its own entry is read, longer while the store is slow.

Evidence: the line `condition=... born=... cpu=...`, now written for each new process, on the unchanged decisions: `new_incarnation` of w1, eight runs gone, eight new attempts placed and started, and only then `cpu=16000` in force. Starts that were placed before the crash and an entry that is read and not applied are ruled out by that order.

Change: the session drops the entry and gets no tasks until the one of the new process is read. It is kept meanwhile (`is_entry_awaited`): forgotten and created again, it would have two holds in flight for good. On the related path, a placement that was being recorded when the new process was found was started there; it is now withdrawn unless the process is the one that the record names.

--- a/core/src/batch/orders.rs
+++ b/core/src/batch/orders.rs
@@ -287,7 +287,7 @@
         if is_other_incarnation {
             // An address that was never confirmed may be the one of another worker.
             let has_answered = session.hold.answered_at.is_some();
-            session.entry = None;
+            session.set_entry(None);
             session.address = None;
             if has_answered {
                 let reason = "another process answers at its address";
--- a/core/src/batch/planner.rs
+++ b/core/src/batch/planner.rs
@@ -354,8 +354,8 @@
                 task: *task,
                 attempt,
             };
-            let worker = key.worker.clone();
-            starts::start_run(state, &worker, run, context);
+            let key = key.clone();
+            starts::start_run(state, &key, run, context);
         }
         Some(_) => completion::finalize_job(state, task.step.job, context),
         None => {}
@@ -434,7 +434,7 @@
     let Some(entry) = entry else {
         planner.ignored_entries.swap_remove(worker);
         let session = planner.workers.get_mut(worker);
-        if session.is_some_and(|session| session.entry.take().is_some()) {
+        if session.is_some_and(|session| session.set_entry(None)) {
             planner.is_dirty = true;
             context.info(
                 LogTarget::Lease,
@@ -464,24 +464,30 @@
         context.warn(LogTarget::Lease, line);
         session.restart(entry.incarnation, state.settings.max_lease, context.at);
     }
-    let last_condition = session.entry.as_ref().map(|entry| entry.condition);
-    if last_condition != Some(entry.condition) {
+    let last = session.entry.as_ref();
+    let last = last.map(|entry| (entry.condition, entry.incarnation));
+    if last != Some((entry.condition, entry.incarnation)) {
         planner.is_dirty = true;
-        let condition = entry.condition;
-        context.info(
-            LogTarget::Lease,
-            format!("worker={worker} condition={condition:?}"),
+        let WorkerEntry {
+            condition,
+            incarnation,
+            capacity,
+            ..
+        } = entry;
+        let line = format!(
+            "worker={worker} condition={condition:?} born={incarnation} cpu={} gpu={}",
+            capacity.cpu, capacity.gpu
         );
+        context.info(LogTarget::Lease, line);
     }
-    if last_condition.is_none() {
+    if last.is_none() {
         session.hold.due_at = context.at;
         planner.due_workers.insert((context.at, worker.clone()));
     }
     let is_draining = entry.condition == WorkerCondition::Draining;
     let remaining = entry.remaining.filter(|_| is_draining);
     session.drain_deadline = remaining.map(|remaining| context.at + remaining);
-    session.address = Some(entry.address.clone());
-    session.entry = Some(entry.clone());
+    session.set_entry(Some(entry));
 }
 
 /// Handles a job's acceptance, phase or cancellation that was read back.
--- a/core/src/batch/session.rs
+++ b/core/src/batch/session.rs
@@ -134,8 +134,12 @@
 /// The planner's state for one incarnation of a worker.
 #[derive(Clone, Debug)]
 pub struct WorkerSession {
-    /// The worker's newest entry in the workers' topic; absent once the entry is gone.
+    /// The newest entry of this incarnation in the workers' topic; absent before it is read and once
+    /// it is gone.
     pub entry: Option<WorkerEntry>,
+    /// Whether the incarnation is known from its lists and its entry has not been read yet. The
+    /// session is kept meanwhile, because its hold goes on.
+    pub is_entry_awaited: bool,
     /// Earliest time at which the worker shuts down, as announced by a draining worker.
     pub drain_deadline: Option<ClockTime>,
     /// IP address and port. They are kept when the entry is gone, because an entry can expire while
@@ -181,6 +185,7 @@
     pub fn new(incarnation: u64, at: ClockTime) -> Self {
         Self {
             entry: None,
+            is_entry_awaited: false,
             drain_deadline: None,
             address: None,
             incarnation,
@@ -205,18 +210,16 @@
     ///
     /// Recent orders may have reached the new process, so its first list determines which runs are
     /// kept. The ends of their leases are times of the old process's clock, which the new one can
-    /// take for the longest lease.
+    /// take for the longest lease. The new process can differ in service, rack, labels and capacity,
+    /// so it receives no tasks until its own entry is read.
     pub fn restart(&mut self, incarnation: u64, max_lease: TimeSpan, at: ClockTime) {
         let mut next = Self::new(incarnation, at);
         next.address = self.address.take();
-        next.entry = self.entry.take();
+        next.is_entry_awaited = true;
         next.lease_expires_at = self
             .lease_expires_at
             .max(at + Self::longest_lease(max_lease));
         next.runs = std::mem::take(&mut self.runs);
-        if let Some(entry) = &mut next.entry {
-            entry.incarnation = incarnation;
-        }
         for slot in next.runs.values_mut() {
             match slot.phase {
                 RunPhase::Running => slot.phase = RunPhase::Adopted,
@@ -233,6 +236,16 @@
         *self = next;
     }
 
+    /// Replaces the entry by the newest one in the workers' topic, or by `None` once it is gone.
+    /// Returns whether there was one before.
+    pub fn set_entry(&mut self, entry: Option<&WorkerEntry>) -> bool {
+        self.is_entry_awaited = false;
+        if let Some(entry) = entry {
+            self.address = Some(entry.address.clone());
+        }
+        std::mem::replace(&mut self.entry, entry.cloned()).is_some()
+    }
+
     /// Returns the end of a lease that starts now, in milliseconds of the worker's clock, or `None`
     /// before the first reading of that clock.
     #[must_use]
--- a/core/src/batch/starts.rs
+++ b/core/src/batch/starts.rs
@@ -10,6 +10,7 @@
 use crate::batch::planner;
 use crate::batch::planner::OrderKind;
 use crate::batch::planner::PendingOrder;
+use crate::batch::record::IncarnationKey;
 use crate::batch::session::RunPhase;
 use crate::batch::session::WorkerSession;
 use crate::batch::state::BatchState;
@@ -26,13 +27,14 @@
 const START_TIMEOUT: TimeSpan = TimeSpan(400);
 
 /// Sends the start order of a run whose placement was read back, or withdraws the placement if the
-/// worker is no longer available.
+/// incarnation that it names is no longer available.
 pub fn start_run(
     state: &mut BatchState,
-    worker: &WorkerName,
+    key: &IncarnationKey,
     run: RunKey,
     context: &mut StepContext<'_>,
 ) {
+    let worker = &key.worker;
     // `stops::reconcile` withdraws a placement that was recorded and not started.
     if !state.is_view_current(context.at) {
         return;
@@ -50,8 +52,16 @@
     let is_unavailable = |entry: &WorkerEntry| {
         entry.condition != WorkerCondition::Ready || state.domains_out.contains(&entry.domain)
     };
-    if session.entry.as_ref().is_none_or(is_unavailable) {
-        let line = format!("run={run} worker={worker} outcome=withdrawn reason=\"worker left\"");
+    let reason = if session.incarnation != key.incarnation {
+        // The new process can be of another kind than the one that was chosen for the run.
+        Some("worker started again")
+    } else if session.entry.as_ref().is_none_or(is_unavailable) {
+        Some("worker left")
+    } else {
+        None
+    };
+    if let Some(reason) = reason {
+        let line = format!("run={run} worker={worker} outcome=withdrawn reason={reason:?}");
         context.info(LogTarget::Gang, line);
         completion::handle_lost_run(state, worker, run, context);
         return;
--- a/core/src/batch/stops.rs
+++ b/core/src/batch/stops.rs
@@ -57,7 +57,7 @@
 }
 
 /// Requeues the tasks of workers whose lease has expired, and removes the sessions of workers with
-/// neither an entry nor runs.
+/// neither an entry, now or soon, nor runs.
 pub fn expire_leases(state: &mut BatchState, context: &mut StepContext<'_>) {
     let Some(planner) = &state.planner else {
         return;
@@ -78,9 +78,9 @@
     let Some(planner) = &mut state.planner else {
         return;
     };
-    planner
-        .workers
-        .retain(|_, session| session.entry.is_some() || !session.runs.is_empty());
+    planner.workers.retain(|_, session| {
+        session.entry.is_some() || session.is_entry_awaited || !session.runs.is_empty()
+    });
 }
 
 /// Stops runs that are evicted or that no record assigns to their worker, and withdraws placements
--- a/standin/src/batch/checker.rs
+++ b/standin/src/batch/checker.rs
@@ -60,7 +60,8 @@
 
 impl InvariantChecker {
     /// Checks a start that a worker is about to execute: no duplicate runs, no start after the end,
-    /// no start of a rejected or unknown job, completed dependencies and sufficient capacity.
+    /// no start of a rejected or unknown job, completed dependencies, the required label and
+    /// sufficient capacity.
     pub fn check_start(
         &mut self,
         run: &RunKey,
@@ -127,6 +128,14 @@
                     .push(format!("start before the dependencies completed: {run}"));
             }
         }
+        let entry = workers.get(worker).map(|model| &model.entry);
+        let labels = entry.map_or(&[][..], |entry| entry.labels.as_slice());
+        let required = step.requirement.as_ref();
+        if required.is_some_and(|label| !labels.contains(label)) {
+            self.violations.push(format!(
+                "start without the required label: {run} on {worker}"
+            ));
+        }
         let demand = step.reserved_demand();
         self.check_capacity(run, worker, workers, &demand);
     }
--- a/standin/src/batch/simulation/lifecycle.rs
+++ b/standin/src/batch/simulation/lifecycle.rs
@@ -5,7 +5,9 @@
 use crate::batch::worker::BatchWorker;
 use crate::batch::worker::WorkerBehavior;
 use mustardpath_core::batch::job::JobKey;
+use mustardpath_core::batch::job::TaskDemand;
 use mustardpath_core::batch::job::WorkerCondition;
+use mustardpath_core::batch::job::WorkerLabel;
 use mustardpath_core::batch::message::RunEnding;
 use mustardpath_core::batch::message::StoreStream;
 use mustardpath_core::batch::message::StreamChange;
@@ -103,6 +105,21 @@
         self.write_entry(worker);
     }
 
+    /// Starts a new incarnation of a worker as one of another kind, with a label and a capacity of
+    /// its own.
+    pub fn restart_worker_as(
+        &mut self,
+        worker: &WorkerName,
+        label: WorkerLabel,
+        capacity: TaskDemand,
+    ) {
+        if let Some(model) = self.workers.get_mut(worker) {
+            model.entry.labels[0] = label;
+            model.entry.capacity = capacity;
+        }
+        self.restart_worker(worker);
+    }
+
     /// Marks a worker's entry as draining.
     pub fn drain_worker(&mut self, worker: &WorkerName) {
         if let Some(model) = self.workers.get_mut(worker) {
