Show that a start that is sent again reaches a worker of another kind

Cause, shown by the new test: a start whose connection is refused while its worker is down is sent again for up to 1 s, and so arrives before the planner has heard of the new process. The order names the worker and not its process, and its deadline is a time of the old process's clock.

No code of the product is changed.

--- a/standin/tests/batch_worker_kinds.rs
+++ b/standin/tests/batch_worker_kinds.rs
@@ -37,6 +37,17 @@
     simulation.submit(0, simulations::key(1), simulations::job(vec![step]));
 }
 
+/// Advances to the first placement, whose start has not been sent yet.
+fn advance_to_placement(simulation: &mut BatchSimulation) {
+    let is_placed = |simulation: &BatchSimulation| {
+        let mut lines = simulation.trace.iter().flatten();
+        lines.any(|line| line.contains("outcome=placed"))
+    };
+    while !is_placed(simulation) {
+        simulation.advance(TimeSpan(1));
+    }
+}
+
 fn restart_as_another_kind(simulation: &mut BatchSimulation) {
     for worker in changing_workers() {
         simulation.restart_worker_as(&worker, "b".into(), SMALL_CAPACITY);
@@ -80,13 +91,7 @@
         let mut simulation = simulations::simulation(seed, 3, 8);
         simulation.faults.append_time = TimeSpan(600);
         submit_job_for_the_old_kind(&mut simulation);
-        let is_placed = |simulation: &BatchSimulation| {
-            let mut lines = simulation.trace.iter().flatten();
-            lines.any(|line| line.contains("outcome=placed"))
-        };
-        while !is_placed(&simulation) {
-            simulation.advance(TimeSpan(1));
-        }
+        advance_to_placement(&mut simulation);
         for worker in changing_workers() {
             simulation.crash_worker(&worker);
         }
@@ -117,3 +122,21 @@
     let planner = simulation.planner_state().expect("there is a planner");
     assert!(planner.workers[&worker].is_usable(simulation.now()));
 }
+
+/// Guards against a start that is sent again while connections to its worker are refused, and so
+/// reaches the next process before the planner has heard of it (seen in the records of review/4,
+/// ROUTE).
+#[test]
+fn a_start_that_is_sent_again_does_not_reach_another_kind() {
+    for seed in 0..8 {
+        let mut simulation = simulations::simulation(seed, 3, 8);
+        submit_job_for_the_old_kind(&mut simulation);
+        advance_to_placement(&mut simulation);
+        for worker in changing_workers() {
+            simulation.crash_worker(&worker);
+        }
+        simulation.advance(TimeSpan(400));
+        restart_as_another_kind(&mut simulation);
+        assert_job_completes_without_violations(&mut simulation, seed);
+    }
+}
