Log the outcomes of orders that were sent before a worker started again

The log could not tell three hypotheses apart: an order to the former process that reaches the new one, a renewal that carries a time of the old clock, and a wrong margin on the end of a lease.

The new line names the order, the end of the lease that it requests, and the process and clock of its answer. No decision changes.

--- a/core/src/batch/message.rs
+++ b/core/src/batch/message.rs
@@ -303,6 +303,27 @@
     }
 }
 
+impl OrderOutcome {
+    /// Returns the name of the outcome in log lines.
+    #[must_use]
+    pub const fn name(&self) -> &'static str {
+        match self {
+            Self::Done { .. } => "done",
+            Self::Refused { refusal, .. } => match refusal {
+                OrderRefusal::Fenced => "fenced",
+                OrderRefusal::Old => "old",
+                OrderRefusal::Late => "late",
+                OrderRefusal::Room => "room",
+                OrderRefusal::OtherLife => "other_life",
+                OrderRefusal::Unhealthy => "unhealthy",
+                OrderRefusal::Malformed => "malformed",
+            },
+            Self::Undelivered => "undelivered",
+            Self::Unknown => "unknown",
+        }
+    }
+}
+
 plain_data! {
     /// An interval in the life cycle of a job, measured by a histogram.
     #[derive(Copy, Hash)]
--- a/core/src/batch/orders.rs
+++ b/core/src/batch/orders.rs
@@ -135,8 +135,11 @@
     // A start or stop can have reached a later incarnation of the worker. A hold or probe cannot,
     // so its outcome is stale.
     let is_same_incarnation = session.incarnation == order.incarnation;
-    if !is_same_incarnation && matches!(order.kind, OrderKind::Hold | OrderKind::Probe) {
-        return;
+    if !is_same_incarnation {
+        log_late_outcome(&order, outcome, context);
+        if matches!(order.kind, OrderKind::Hold | OrderKind::Probe) {
+            return;
+        }
     }
     if let OrderOutcome::Refused {
         refusal: OrderRefusal::Fenced,
@@ -162,6 +165,30 @@
     }
 }
 
+/// Logs the outcome of an order that was sent before its worker was known to have started again. An
+/// answer names the process that carried the order out.
+fn log_late_outcome(order: &PendingOrder, outcome: &OrderOutcome, context: &mut StepContext<'_>) {
+    let (clock, born) = match outcome {
+        OrderOutcome::Done { clock, lists } => {
+            let born = lists.as_ref().and_then(|lists| lists.incarnation);
+            (Some(*clock), born)
+        }
+        OrderOutcome::Refused { clock, .. } => (*clock, None),
+        OrderOutcome::Undelivered | OrderOutcome::Unknown => (None, None),
+    };
+    let line = format!(
+        "worker={} order={} sent_ms_ago={} lease_end={} clock={} born={} outcome=late_order result={}",
+        order.worker,
+        order.kind.name(),
+        context.at.since(order.sent_at),
+        order.lease_end.unwrap_or(0),
+        clock.unwrap_or(0),
+        born.unwrap_or(0),
+        outcome.name()
+    );
+    context.info(LogTarget::Lease, line);
+}
+
 /// Sends an order to a worker. Does nothing while the worker's address is unknown.
 pub fn send(
     planner: &mut PlannerState,
@@ -179,16 +206,21 @@
     };
     planner.last_order += 1;
     let call = CallId(planner.last_order);
+    let (lease_end, acknowledged_end) = match &order {
+        WorkerOrder::Hold {
+            lease_end,
+            acknowledged_end,
+            ..
+        } => (*lease_end, *acknowledged_end),
+        WorkerOrder::Start { lease_end, .. } => (Some(*lease_end), 0),
+        WorkerOrder::Stop { .. } => (None, 0),
+    };
     let pending = PendingOrder {
         worker: worker.clone(),
         incarnation: session.incarnation,
         sent_at: context.at,
-        acknowledged_end: match &order {
-            WorkerOrder::Hold {
-                acknowledged_end, ..
-            } => *acknowledged_end,
-            WorkerOrder::Start { .. } | WorkerOrder::Stop { .. } => 0,
-        },
+        lease_end,
+        acknowledged_end,
         kind,
     };
     context.push(ControlEffect::Batch(BatchEffect::Order {
--- a/core/src/batch/planner.rs
+++ b/core/src/batch/planner.rs
@@ -57,6 +57,8 @@
     pub incarnation: u64,
     /// When the order was sent.
     pub sent_at: ClockTime,
+    /// End of the lease that the order requests, in milliseconds of the worker's clock.
+    pub lease_end: Option<u64>,
     /// Number up to which the order lets the worker discard its ends; 0 for none.
     pub acknowledged_end: u64,
     /// Operation that the order requests.
@@ -76,6 +78,19 @@
     Stop(RunKey),
 }
 
+impl OrderKind {
+    /// Returns the name of the operation in log lines.
+    #[must_use]
+    pub const fn name(&self) -> &'static str {
+        match self {
+            Self::Hold => "hold",
+            Self::Probe => "probe",
+            Self::Start(_) => "start",
+            Self::Stop(_) => "stop",
+        }
+    }
+}
+
 /// Records of one task that are being appended.
 #[derive(Clone, Debug, Default)]
 pub struct PendingWrite {
