Let a worker that has started again refuse orders to its former process

Cause: an order names a worker and a time of its clock. The next process under that name has the same name and another clock, so a hold that was in flight at the restart is carried out there and cut to the longest lease from whenever it arrives. The fencing token was the term and did not change. The planner counted the longest lease from the moment at which it heard of the restart, and dropped the answer of the late hold as stale.

Evidence: the line outcome=late_order on the unchanged decisions. Renewals with a time of the old clock are ruled out: those that follow carry the new one.

Change: the token is the term and a count of worker sessions. The planner takes the next one when it hears of a new process and sends a hold with it at once; only lists that were requested with it decide on runs. From the first answer on the worker refuses all earlier orders, and until then one of them can have extended its lease, so the planner counts the longest lease from that answer. Outcomes of orders with an earlier token decide nothing; a refusal of one does not end the term.

Not mended: orders that arrive before the new process has answered the planner.

Tests: the stand-in of the workers dropped all orders to a former process; it can now deliver them to the next one.

--- a/core/src/batch/lists.rs
+++ b/core/src/batch/lists.rs
@@ -27,16 +27,18 @@
     context: &mut StepContext<'_>,
 ) {
     let max_lease = state.settings.max_lease;
-    let Some(session) = state.worker_mut(worker) else {
+    let Some(planner) = &mut state.planner else {
+        return;
+    };
+    let Some(session) = planner.workers.get_mut(worker) else {
         return;
     };
     if let Some(incarnation) = lists
         .incarnation
         .filter(|incarnation| *incarnation != session.incarnation)
     {
-        let line = format!("worker={worker} born={incarnation} outcome=new_incarnation");
-        context.warn(LogTarget::Lease, line);
-        session.restart(incarnation, max_lease, context.at);
+        // Earlier orders can still start runs that this list does not show.
+        return planner.restart_session(worker, incarnation, max_lease, context);
     }
     session.has_listed = true;
     for row in &lists.running {
--- a/core/src/batch/message.rs
+++ b/core/src/batch/message.rs
@@ -13,6 +13,7 @@
 use crate::ids::CallId;
 use crate::ids::CallerId;
 use crate::ids::DomainName;
+use crate::ids::OrderToken;
 use crate::ids::TermNumber;
 use crate::ids::WorkerName;
 use crate::kind::FailureReport;
@@ -263,7 +264,7 @@
     #[derive(Copy, Hash)]
     #[serde(rename_all = "snake_case")]
     pub enum OrderRefusal {
-        /// It has seen a newer term.
+        /// It has seen a higher fencing token.
         Fenced,
         /// A run of the task with the same or a higher attempt has ended or was stopped there.
         Old,
@@ -271,7 +272,7 @@
         Late,
         /// Its free capacity is too small.
         Room,
-        /// The order was for an earlier incarnation of the worker.
+        /// The order was for a worker of another name.
         OtherLife,
         /// It is unhealthy and did not carry out the order.
         Unhealthy,
@@ -420,8 +421,8 @@
             worker: WorkerName,
             /// IP address and port from the worker's entry in the store.
             address: String,
-            /// The planner's term, which the worker uses as the fencing token.
-            term: TermNumber,
+            /// Fencing token of the worker's session.
+            token: OrderToken,
             /// Lease renewal, start or stop that the worker carries out.
             order: WorkerOrder,
             /// Timeout for the response.
--- a/core/src/batch/orders.rs
+++ b/core/src/batch/orders.rs
@@ -132,21 +132,17 @@
     let Some(session) = planner.workers.get_mut(&order.worker) else {
         return;
     };
-    // A start or stop can have reached a later incarnation of the worker. A hold or probe cannot,
-    // so its outcome is stale.
-    let is_same_incarnation = session.incarnation == order.incarnation;
-    if !is_same_incarnation {
-        log_late_outcome(&order, outcome, context);
-        if matches!(order.kind, OrderKind::Hold | OrderKind::Probe) {
-            return;
-        }
+    // Both the old and the new process of a worker can have answered an order that was sent before
+    // its session was replaced. What it shows of runs follows with the first lists.
+    if session.token != order.token {
+        return log_late_outcome(&order, outcome, context);
     }
     if let OrderOutcome::Refused {
         refusal: OrderRefusal::Fenced,
         ..
     } = outcome
     {
-        let reason = format!("{} has seen a newer term", order.worker);
+        let reason = format!("{} has seen a higher token", order.worker);
         return term::resign(state, &reason, context);
     }
     let clock = match outcome {
@@ -154,9 +150,12 @@
         OrderOutcome::Refused { clock, .. } => *clock,
         OrderOutcome::Undelivered | OrderOutcome::Unknown => None,
     };
-    if let Some(clock) = clock.filter(|_| is_same_incarnation) {
+    if let Some(clock) = clock {
         session.clock_reading = Some((clock, context.at));
     }
+    if matches!(outcome, OrderOutcome::Done { .. }) {
+        session.confirm_token(state.settings.max_lease, context.at);
+    }
     match order.kind {
         OrderKind::Hold => handle_hold_outcome(state, &order, outcome, context),
         OrderKind::Probe => handle_probe_outcome(state, &order, outcome, context),
@@ -166,7 +165,7 @@
 }
 
 /// Logs the outcome of an order that was sent before its worker was known to have started again. An
-/// answer names the process that carried the order out.
+/// answer to a hold or a probe names the process that carried it out.
 fn log_late_outcome(order: &PendingOrder, outcome: &OrderOutcome, context: &mut StepContext<'_>) {
     let (clock, born) = match outcome {
         OrderOutcome::Done { clock, lists } => {
@@ -217,7 +216,7 @@
     };
     let pending = PendingOrder {
         worker: worker.clone(),
-        incarnation: session.incarnation,
+        token: session.token,
         sent_at: context.at,
         lease_end,
         acknowledged_end,
@@ -227,7 +226,7 @@
         call,
         worker: worker.clone(),
         address,
-        term: planner.term,
+        token: session.token,
         order,
         timeout,
     }));
--- a/core/src/batch/planner.rs
+++ b/core/src/batch/planner.rs
@@ -37,13 +37,16 @@
 use crate::context::StepContext;
 use crate::effect::LogTarget;
 use crate::ids::CallId;
+use crate::ids::OrderToken;
 use crate::ids::TermNumber;
 use crate::ids::WorkerName;
 use crate::units::ClockTime;
+use crate::units::TimeSpan;
 
-/// Low bits of an order's number, which count within a term. The term is in the high bits, so an
-/// answer to an order of an earlier term of the same process never matches an order of this term.
-const ORDER_BITS: u32 = 32;
+/// Low bits of an order's number and of a fencing token, which count within a term. The term is in
+/// the high bits, so an answer to an order of an earlier term of the same process never matches an
+/// order of this term, and each token of a term is higher than those of all earlier ones.
+const COUNTER_BITS: u32 = 32;
 
 /// Maximum length of the reason in a log line about an ignored entry, which can quote the entry.
 const MAX_REASON_CHARS: usize = 200;
@@ -53,8 +56,8 @@
 pub struct PendingOrder {
     /// Worker that the order was sent to.
     pub worker: WorkerName,
-    /// Incarnation of the worker that the order was meant for.
-    pub incarnation: u64,
+    /// Fencing token of the order.
+    pub token: OrderToken,
     /// When the order was sent.
     pub sent_at: ClockTime,
     /// End of the lease that the order requests, in milliseconds of the worker's clock.
@@ -105,7 +108,7 @@
 /// State of the planner beyond the materialized view. It is rebuilt in each term.
 #[derive(Clone, Debug)]
 pub struct PlannerState {
-    /// Term of the planner, which is the fencing token.
+    /// Term of the planner.
     pub term: TermNumber,
     /// When this daemon read back its claim of the term.
     pub term_began_at: ClockTime,
@@ -117,6 +120,8 @@
     pub orders: IndexMap<CallId, PendingOrder>,
     /// Number of the last order, with the term in its high bits.
     pub last_order: u64,
+    /// Fencing token of the newest session, with the term in its high bits.
+    pub last_token: OrderToken,
     /// Task records that are being appended, by task.
     pub pending_writes: IndexMap<TaskKey, PendingWrite>,
     /// Number of runs of each task that occupy capacity on any worker.
@@ -161,7 +166,8 @@
             workers: IndexMap::new(),
             ignored_entries: IndexSet::new(),
             orders: IndexMap::new(),
-            last_order: term.0 << ORDER_BITS,
+            last_order: term.0 << COUNTER_BITS,
+            last_token: OrderToken(term.0 << COUNTER_BITS),
             pending_writes: IndexMap::new(),
             live_runs: IndexMap::new(),
             finalized_jobs: IndexSet::new(),
@@ -181,6 +187,38 @@
         }
     }
 
+    /// Returns the session of a worker, which is created for the given incarnation if there is none.
+    pub fn session_or_new(
+        &mut self,
+        worker: &WorkerName,
+        incarnation: u64,
+        at: ClockTime,
+    ) -> &mut WorkerSession {
+        let last_token = &mut self.last_token;
+        let session = self.workers.entry(worker.clone());
+        session.or_insert_with(|| WorkerSession::new(incarnation, next_token(last_token), at))
+    }
+
+    /// Replaces the session of a worker by one for a new incarnation, which is asked for its lists at
+    /// once. Does nothing for an unknown worker.
+    pub fn restart_session(
+        &mut self,
+        worker: &WorkerName,
+        incarnation: u64,
+        max_lease: TimeSpan,
+        context: &mut StepContext<'_>,
+    ) {
+        let Some(session) = self.workers.get_mut(worker) else {
+            return;
+        };
+        let token = next_token(&mut self.last_token);
+        session.restart(incarnation, token, max_lease, context.at);
+        self.due_workers.insert((context.at, worker.clone()));
+        let line =
+            format!("worker={worker} born={incarnation} token={token} outcome=new_incarnation");
+        context.warn(LogTarget::Lease, line);
+    }
+
     /// Adds a run that occupies capacity on a worker. Does nothing for an unknown worker.
     pub fn add_slot(&mut self, worker: &WorkerName, run: RunKey, slot: RunSlot) {
         let session = self.workers.get_mut(worker);
@@ -295,6 +333,12 @@
     }
 }
 
+/// Returns the next fencing token of a term.
+fn next_token(last: &mut OrderToken) -> OrderToken {
+    last.0 += 1;
+    *last
+}
+
 /// Rebuilds the runs and open jobs from the records of earlier planners at the start of a term, and
 /// finalizes jobs that have ended.
 pub fn adopt(state: &mut BatchState, context: &mut StepContext<'_>) {
@@ -316,11 +360,7 @@
             let (TaskState::Placed(key) | TaskState::Stopping(key)) = &record.state else {
                 continue;
             };
-            let incarnation = key.incarnation;
-            let session = planner
-                .workers
-                .entry(key.worker.clone())
-                .or_insert_with(|| WorkerSession::new(incarnation, context.at));
+            let session = planner.session_or_new(&key.worker, key.incarnation, context.at);
             session.lease_expires_at = lease_expires_at;
             let run = RunKey {
                 task,
@@ -467,18 +507,14 @@
         return;
     }
     planner.ignored_entries.swap_remove(worker);
-    let session = planner
-        .workers
-        .entry(worker.clone())
-        .or_insert_with(|| WorkerSession::new(entry.incarnation, context.at));
+    let session = planner.session_or_new(worker, entry.incarnation, context.at);
     if session.incarnation != entry.incarnation {
-        let line = format!(
-            "worker={worker} born={} outcome=new_incarnation",
-            entry.incarnation
-        );
-        context.warn(LogTarget::Lease, line);
-        session.restart(entry.incarnation, state.settings.max_lease, context.at);
+        let max_lease = state.settings.max_lease;
+        planner.restart_session(worker, entry.incarnation, max_lease, context);
     }
+    let Some(session) = planner.workers.get_mut(worker) else {
+        return;
+    };
     let last = session.entry.as_ref();
     let last = last.map(|entry| (entry.condition, entry.incarnation));
     if last != Some((entry.condition, entry.incarnation)) {
--- a/core/src/batch/session.rs
+++ b/core/src/batch/session.rs
@@ -11,6 +11,7 @@
 use crate::batch::job::TaskKey;
 use crate::batch::job::WorkerCondition;
 use crate::batch::job::WorkerEntry;
+use crate::ids::OrderToken;
 use crate::ids::TeamName;
 use crate::units::ClockTime;
 use crate::units::TimeSpan;
@@ -56,7 +57,8 @@
     Unconfirmed,
     /// The worker confirmed the start, or lists the run as running.
     Running,
-    /// An earlier planner placed the run; the worker has not listed it to this planner yet.
+    /// An earlier planner placed the run, or this one at an earlier incarnation of the worker; the
+    /// worker has not listed it since.
     Adopted,
     /// The worker lists the run, but no placement is recorded.
     Untracked,
@@ -107,8 +109,8 @@
     pub listed_at: ClockTime,
     /// Whether an unanswered start order may still be carried out.
     pub is_start_uncertain: bool,
-    /// Deadline of the start orders of this run; absent before the first one, and once another
-    /// incarnation of the worker may receive them.
+    /// Deadline of the start orders of this run; absent before the first one, and at an incarnation
+    /// of the worker to which none was sent.
     pub start_deadline: Option<StartDeadline>,
     /// Whether the run is to be stopped to free its capacity, or because its start was abandoned.
     pub is_evicted: bool,
@@ -148,6 +150,12 @@
     /// Start time of the worker's process as the worker reports it, which identifies the
     /// incarnation.
     pub incarnation: u64,
+    /// Fencing token of the orders to this incarnation, higher than those of all earlier orders to
+    /// the worker.
+    pub token: OrderToken,
+    /// Whether the worker has carried out an order with the token, so that it refuses all earlier
+    /// orders.
+    pub is_token_confirmed: bool,
     /// Last reading of the worker's clock in milliseconds, and when it was taken.
     pub clock_reading: Option<(u64, ClockTime)>,
     /// Time after which all runs on the worker have ended unless the lease is renewed.
@@ -182,13 +190,15 @@
 impl WorkerSession {
     /// Creates the session of an incarnation, without an entry, a clock reading or runs.
     #[must_use]
-    pub fn new(incarnation: u64, at: ClockTime) -> Self {
+    pub fn new(incarnation: u64, token: OrderToken, at: ClockTime) -> Self {
         Self {
             entry: None,
             is_entry_awaited: false,
             drain_deadline: None,
             address: None,
             incarnation,
+            token,
+            is_token_confirmed: false,
             clock_reading: None,
             lease_expires_at: at,
             requested_lease_end: 0,
@@ -208,12 +218,19 @@
 
     /// Replaces the session by one for a new incarnation.
     ///
-    /// Recent orders may have reached the new process, so its first list determines which runs are
-    /// kept. The ends of their leases are times of the old process's clock, which the new one can
-    /// take for the longest lease. The new process can differ in service, rack, labels and capacity,
-    /// so it receives no tasks until its own entry is read.
-    pub fn restart(&mut self, incarnation: u64, max_lease: TimeSpan, at: ClockTime) {
-        let mut next = Self::new(incarnation, at);
+    /// Orders to the old process can reach the new one until it refuses them by the token, so the
+    /// first list that it returns to an order with the token determines which runs are kept. The
+    /// ends of their leases are times of the old process's clock, which the new one can take for the
+    /// longest lease. The new process can differ in service, rack, labels and capacity, so it
+    /// receives no tasks until its own entry is read.
+    pub fn restart(
+        &mut self,
+        incarnation: u64,
+        token: OrderToken,
+        max_lease: TimeSpan,
+        at: ClockTime,
+    ) {
+        let mut next = Self::new(incarnation, token, at);
         next.address = self.address.take();
         next.is_entry_awaited = true;
         next.lease_expires_at = self
@@ -222,12 +239,10 @@
         next.runs = std::mem::take(&mut self.runs);
         for slot in next.runs.values_mut() {
             match slot.phase {
-                RunPhase::Running => slot.phase = RunPhase::Adopted,
-                RunPhase::Unconfirmed => slot.is_evicted = true,
-                RunPhase::Recording
-                | RunPhase::Starting
-                | RunPhase::Adopted
-                | RunPhase::Untracked => {}
+                RunPhase::Running | RunPhase::Starting | RunPhase::Unconfirmed => {
+                    slot.phase = RunPhase::Adopted;
+                }
+                RunPhase::Recording | RunPhase::Adopted | RunPhase::Untracked => {}
             }
             // The deadline is a time of the old process's clock.
             slot.start_deadline = None;
@@ -246,6 +261,19 @@
         std::mem::replace(&mut self.entry, entry.cloned()).is_some()
     }
 
+    /// Records that the worker has carried out an order with the session's token.
+    ///
+    /// An order of an earlier session can have extended its lease until then, from a time that is
+    /// not known and up to the longest lease.
+    pub fn confirm_token(&mut self, max_lease: TimeSpan, at: ClockTime) {
+        if self.is_token_confirmed {
+            return;
+        }
+        self.is_token_confirmed = true;
+        let expires_at = at + Self::longest_lease(max_lease);
+        self.lease_expires_at = self.lease_expires_at.max(expires_at);
+    }
+
     /// Returns the end of a lease that starts now, in milliseconds of the worker's clock, or `None`
     /// before the first reading of that clock.
     #[must_use]
--- a/core/src/ids.rs
+++ b/core/src/ids.rs
@@ -25,6 +25,9 @@
     JobId;
     /// A term of the planner. Each valid claim raises it by 1.
     TermNumber;
+    /// The fencing token of a worker's orders. A worker refuses each token that is lower than the
+    /// highest it has seen.
+    OrderToken;
     /// A version of the configuration, which rises with each committed change.
     ConfigVersion;
     /// The offset of a record in a stream of the log.
--- a/core/tests/batch_session.rs
+++ b/core/tests/batch_session.rs
@@ -10,6 +10,7 @@
 use mustardpath_core::batch::session::RunPhase;
 use mustardpath_core::batch::session::RunSlot;
 use mustardpath_core::batch::session::WorkerSession;
+use mustardpath_core::ids::OrderToken;
 use mustardpath_core::units::ClockTime;
 use mustardpath_core::units::TimeSpan;
 
@@ -68,10 +69,26 @@
         task: TaskKey { step, index: 0 },
         attempt: 1,
     };
-    let mut session = WorkerSession::new(1, ClockTime(0));
+    let mut session = WorkerSession::new(1, OrderToken(1), ClockTime(0));
     session.runs.insert(run, untracked());
     session.entry = Some(entry());
     assert_eq!(session.free_capacity(), TaskDemand::default());
     session.runs.swap_remove(&run);
     assert_eq!(session.free_capacity(), WORKER_CAPACITY);
 }
+
+/// Guards against a lease that an order of an earlier planner or to an earlier process has extended
+/// just before the worker refuses such orders, and that the planner takes for a shorter one.
+#[test]
+fn a_confirmed_token_bounds_the_lease_by_the_longest_one() {
+    let max_lease = TimeSpan(10_000);
+    let mut session = WorkerSession::new(1, OrderToken(1), ClockTime(0));
+    session.confirm_token(max_lease, ClockTime(5_000));
+    let expires_at = session.lease_expires_at;
+    assert_eq!(
+        expires_at,
+        ClockTime(5_000) + WorkerSession::longest_lease(max_lease)
+    );
+    session.confirm_token(max_lease, ClockTime(9_000));
+    assert_eq!(session.lease_expires_at, expires_at);
+}
--- a/src/entry/effects.rs
+++ b/src/entry/effects.rs
@@ -164,11 +164,11 @@
             call,
             worker,
             address,
-            term,
+            token,
             order,
             timeout,
         } => {
-            let request = worker::encode_order(worker.as_str(), term, &order);
+            let request = worker::encode_order(worker.as_str(), token, &order);
             let response = context
                 .pool
                 .call(&address, request, to_duration(timeout))
--- a/standin/src/batch/simulation.rs
+++ b/standin/src/batch/simulation.rs
@@ -44,8 +44,8 @@
 use mustardpath_core::ids::BatchId;
 use mustardpath_core::ids::CallId;
 use mustardpath_core::ids::CallerId;
+use mustardpath_core::ids::OrderToken;
 use mustardpath_core::ids::TeamName;
-use mustardpath_core::ids::TermNumber;
 use mustardpath_core::ids::WorkerName;
 use mustardpath_core::kind::RunStatus;
 use mustardpath_core::settings::DaemonSettings;
@@ -62,6 +62,9 @@
 /// Maximum latency of a message in milliseconds. Each message draws its own.
 const MAX_MESSAGE_DELAY_MS: u64 = 4;
 
+/// Time after which a lost packet is sent again.
+const RETRANSMISSION_DELAY: TimeSpan = TimeSpan(1_000);
+
 /// Time after which a member of a gang ends with `RunEnding::Alone` if other members are missing.
 const GANG_TIMEOUT: TimeSpan = TimeSpan(3_000);
 
@@ -99,6 +102,12 @@
     pub refusing_workers: IndexSet<WorkerName>,
     /// Latency that is added to each order.
     pub order_delay: TimeSpan,
+    /// Whether packets to a worker that is down are lost and sent again, so that orders reach its
+    /// next incarnation. Otherwise connections to it are refused.
+    pub are_packets_retransmitted: bool,
+    /// Whether late orders reach the incarnation of the worker that runs by then. Otherwise they end
+    /// with the incarnation that they were sent to.
+    pub are_late_orders_kept: bool,
 }
 
 #[derive(Debug)]
@@ -150,12 +159,11 @@
 struct OrderCall {
     call: CallId,
     worker: WorkerName,
-    term: TermNumber,
+    token: OrderToken,
     order: WorkerOrder,
     /// Whether the daemon receives the response.
     is_answered: bool,
-    /// Incarnation of the worker at the time of sending. The connection ends with the process, so
-    /// an order does not reach a later incarnation.
+    /// Incarnation of the worker at the time of sending.
     worker_incarnation: Option<u64>,
 }
 
--- a/standin/src/batch/simulation/delivery.rs
+++ b/standin/src/batch/simulation/delivery.rs
@@ -14,7 +14,7 @@
 use mustardpath_core::event::ControlEvent;
 use mustardpath_core::event::EventInput;
 use mustardpath_core::ids::CallId;
-use mustardpath_core::ids::TermNumber;
+use mustardpath_core::ids::OrderToken;
 use mustardpath_core::ids::WorkerName;
 use mustardpath_core::reducer;
 use mustardpath_core::units::TimeSpan;
@@ -112,7 +112,7 @@
                 call,
                 worker,
                 address,
-                term,
+                token,
                 order,
                 timeout,
             } => {
@@ -120,7 +120,7 @@
                     let input = BatchInput::Order { call, outcome };
                     return self.schedule_response(daemon, incarnation, input);
                 }
-                self.send_order(daemon, incarnation, call, worker, term, order, timeout);
+                self.send_order(daemon, incarnation, call, worker, token, order, timeout);
             }
             effect => {
                 let delay = self.draw_delay();
@@ -156,7 +156,7 @@
         incarnation: u64,
         call: CallId,
         worker: WorkerName,
-        term: TermNumber,
+        token: OrderToken,
         order: WorkerOrder,
         timeout: TimeSpan,
     ) {
@@ -176,7 +176,7 @@
         let mut order = OrderCall {
             call,
             worker,
-            term,
+            token,
             order,
             is_answered: true,
             worker_incarnation,
--- a/standin/src/batch/simulation/platform.rs
+++ b/standin/src/batch/simulation/platform.rs
@@ -5,6 +5,7 @@
 use super::GANG_TIMEOUT;
 use super::MAX_ATTEMPTS;
 use super::OrderCall;
+use super::RETRANSMISSION_DELAY;
 use super::SimulationEvent;
 use crate::batch::worker::SimulatedRun;
 use crate::batch::worker::WorkerBehavior;
@@ -189,12 +190,22 @@
         let Some(model) = self.workers.get_mut(&call.worker) else {
             return;
         };
-        if call.worker_incarnation != Some(model.entry.incarnation) {
+        let is_kept = if call.is_answered {
+            self.faults.are_packets_retransmitted
+        } else {
+            self.faults.are_late_orders_kept
+        };
+        if !is_kept && call.worker_incarnation != Some(model.entry.incarnation) {
             return;
         }
-        let outcome = if model.behavior == WorkerBehavior::Down {
+        let is_down = model.behavior == WorkerBehavior::Down;
+        if is_down && self.faults.are_packets_retransmitted {
+            let event = SimulationEvent::DeliverOrder(daemon, incarnation, Box::new(call));
+            return self.schedule(RETRANSMISSION_DELAY, event);
+        }
+        let outcome = if is_down {
             Some(OrderOutcome::Undelivered)
-        } else if let Some(refusal) = model.check_term(call.term, at) {
+        } else if let Some(refusal) = model.check_token(call.token, at) {
             Some(refusal)
         } else {
             self.execute_order(daemon, incarnation, &call)
--- a/standin/src/batch/worker.rs
+++ b/standin/src/batch/worker.rs
@@ -12,7 +12,7 @@
 use mustardpath_core::batch::message::RunEnding;
 use mustardpath_core::batch::message::RunningRow;
 use mustardpath_core::batch::message::WorkerLists;
-use mustardpath_core::ids::TermNumber;
+use mustardpath_core::ids::OrderToken;
 use mustardpath_core::units::ClockTime;
 use mustardpath_core::units::TimeSpan;
 
@@ -63,8 +63,8 @@
     pub clock_loss_permille: u64,
     /// Maximum length of a lease from the current time.
     pub max_lease: TimeSpan,
-    /// Highest term of any order. Orders of lower terms are fenced.
-    pub term: TermNumber,
+    /// Highest fencing token of any order. Orders with a lower one are refused.
+    pub token: OrderToken,
     /// End of the lease in milliseconds of the worker's clock.
     pub lease_end: u64,
     /// Runs in progress.
@@ -94,7 +94,7 @@
             started_at: at,
             clock_loss_permille,
             max_lease,
-            term: TermNumber(0),
+            token: OrderToken(0),
             lease_end: 0,
             running: IndexMap::new(),
             ended: Vec::new(),
@@ -134,12 +134,12 @@
         TimeSpan(left * 1_000 / (1_000 - self.clock_loss_permille) + 1)
     }
 
-    /// Adopts the term of an order. Returns a refusal if the worker has seen a newer term.
-    pub fn check_term(&mut self, term: TermNumber, at: ClockTime) -> Option<OrderOutcome> {
-        if term < self.term {
+    /// Adopts the token of an order. Returns a refusal if the worker has seen a higher one.
+    pub fn check_token(&mut self, token: OrderToken, at: ClockTime) -> Option<OrderOutcome> {
+        if token < self.token {
             return Some(self.refused_outcome(OrderRefusal::Fenced, at));
         }
-        self.term = term;
+        self.token = token;
         None
     }
 
--- a/standin/tests/batch_interleavings.rs
+++ b/standin/tests/batch_interleavings.rs
@@ -86,6 +86,12 @@
     /// Also cuts that refuse connections or sever single links, a slow store, suspensions around a
     /// change of the planner, and entries that another writer has spoiled.
     Extended,
+    /// The basic faults, and orders to a worker that is down reach its next incarnation, as do those
+    /// that are executed late.
+    Retransmissions,
+    /// The basic faults, and orders that are executed late reach the next incarnation of a worker,
+    /// while connections to one that is down are refused.
+    LateOrders,
 }
 
 /// Writes an entry over that of a worker, as another writer could.
@@ -217,6 +223,9 @@
     let mut rng = Rng::with_seed(seed);
     let mut simulation = simulations::simulation(seed, DAEMON_COUNT, WORKER_COUNT);
     simulation.set_teams(&TEAMS);
+    let faults = &mut simulation.faults;
+    faults.are_packets_retransmitted = set == FaultSet::Retransmissions;
+    faults.are_late_orders_kept = matches!(set, FaultSet::Retransmissions | FaultSet::LateOrders);
     if is_traced {
         simulation.trace = Some(Vec::new());
     }
@@ -299,6 +308,23 @@
     run_seeds(first..first + count, FaultSet::Extended);
 }
 
+/// Guards against leases that outlast their bound, runs that start twice and ends that are lost
+/// because a worker that has started again carries out orders to its former process.
+#[test]
+fn interleavings_with_retransmissions_preserve_invariants() {
+    let first = env_number("FIRST_SEED").unwrap_or(0);
+    let count = env_number("INTERLEAVINGS").unwrap_or(SEED_COUNT);
+    run_seeds(first..first + count, FaultSet::Retransmissions);
+}
+
+/// Guards against the same, at workers that start again before they have been reached.
+#[test]
+fn interleavings_with_late_orders_preserve_invariants() {
+    let first = env_number("FIRST_SEED").unwrap_or(0);
+    let count = env_number("INTERLEAVINGS").unwrap_or(SEED_COUNT);
+    run_seeds(first..first + count, FaultSet::LateOrders);
+}
+
 /// Guards against the return of faults that random seeds have found.
 #[test]
 fn regression_seeds_preserve_invariants() {
