--- a/core/src/batch/mod.rs
+++ b/core/src/batch/mod.rs
@@ -18,6 +18,7 @@
 pub mod intake;
 pub mod job;
 mod lists;
+mod membership;
 pub mod message;
 pub mod orders;
 pub mod overdue;
--- a/core/src/batch/planner.rs
+++ b/core/src/batch/planner.rs
@@ -7,18 +7,13 @@
 
 use crate::batch::capacity::CapacityReservation;
 use crate::batch::completion;
-use crate::batch::entry;
 use crate::batch::job::JobDefinition;
 use crate::batch::job::JobKey;
 use crate::batch::job::RunKey;
 use crate::batch::job::StepDefinition;
 use crate::batch::job::StepKey;
 use crate::batch::job::TaskKey;
-use crate::batch::job::WorkerCondition;
-use crate::batch::job::WorkerEntry;
 use crate::batch::message::StoreStream;
-use crate::batch::message::StreamChange;
-use crate::batch::message::StreamRecord;
 use crate::batch::message::WorkerOrder;
 use crate::batch::reader::StreamReader;
 use crate::batch::record::BatchRecord;
@@ -48,9 +43,6 @@
 /// order of this term, and each token of a term is higher than those of all earlier ones.
 const COUNTER_BITS: u32 = 32;
 
-/// Maximum length of the reason in a log line about an ignored entry, which can quote the entry.
-const MAX_REASON_CHARS: usize = 200;
-
 /// An order that was sent and not answered.
 #[derive(Clone, Debug)]
 pub struct PendingOrder {
@@ -417,130 +409,6 @@
     }
 }
 
-/// Applies changes of the workers' topic.
-pub fn apply_worker_changes(
-    state: &mut BatchState,
-    records: &[StreamRecord],
-    context: &mut StepContext<'_>,
-) {
-    for record in records {
-        match &record.change {
-            StreamChange::Worker { worker, entry } => {
-                apply_worker_entry(state, worker, entry.as_deref(), context);
-            }
-            StreamChange::Unreadable { key, reason } => {
-                ignore_entry(state, &key.as_str().into(), reason, context);
-            }
-            StreamChange::Batch(_) | StreamChange::Catalog(_) | StreamChange::Domain { .. } => {}
-        }
-    }
-}
-
-/// Ignores an entry that the worker cannot have written, with one log line until a valid entry
-/// follows. What is known of the worker stays in force.
-fn ignore_entry(
-    state: &mut BatchState,
-    worker: &WorkerName,
-    reason: &str,
-    context: &mut StepContext<'_>,
-) {
-    let Some(planner) = &mut state.planner else {
-        return;
-    };
-    if planner.ignored_entries.insert(worker.clone()) {
-        let reason: String = reason.chars().take(MAX_REASON_CHARS).collect();
-        let worker = worker.as_str();
-        let line = format!("worker={worker:?} outcome=entry_ignored reason={reason:?}");
-        context.warn(LogTarget::Lease, line);
-    }
-}
-
-/// Applies a complete load of the workers' topic. Workers without an entry in it are gone.
-pub fn load_workers(
-    state: &mut BatchState,
-    records: &[StreamRecord],
-    context: &mut StepContext<'_>,
-) {
-    let Some(planner) = &state.planner else {
-        return;
-    };
-    let has_entry = |worker: &WorkerName| {
-        records.iter().any(|record| {
-            matches!(&record.change, StreamChange::Worker { worker: name, .. } if name == worker)
-        })
-    };
-    let names = planner.workers.keys();
-    let gone: Vec<WorkerName> = names.filter(|worker| !has_entry(worker)).cloned().collect();
-    for worker in gone {
-        apply_worker_entry(state, &worker, None, context);
-    }
-    apply_worker_changes(state, records, context);
-}
-
-fn apply_worker_entry(
-    state: &mut BatchState,
-    worker: &WorkerName,
-    entry: Option<&WorkerEntry>,
-    context: &mut StepContext<'_>,
-) {
-    let Some(planner) = &mut state.planner else {
-        return;
-    };
-    let Some(entry) = entry else {
-        planner.ignored_entries.swap_remove(worker);
-        let session = planner.workers.get_mut(worker);
-        if session.is_some_and(|session| session.set_entry(None)) {
-            planner.is_dirty = true;
-            context.info(
-                LogTarget::Lease,
-                format!("worker={worker} outcome=entry_gone"),
-            );
-        }
-        return;
-    };
-    let session = planner.workers.get(worker);
-    let contradiction = session.map_or(Ok(()), |session| entry::check_session(entry, session));
-    if let Err(reason) = entry::check(entry, context.at).and(contradiction) {
-        return ignore_entry(state, worker, &reason, context);
-    }
-    if session.is_some_and(|session| session.incarnation > entry.incarnation) {
-        return;
-    }
-    planner.ignored_entries.swap_remove(worker);
-    let session = planner.session_or_new(worker, entry.incarnation, context.at);
-    if session.incarnation != entry.incarnation {
-        let max_lease = state.settings.max_lease;
-        planner.restart_session(worker, entry.incarnation, max_lease, context);
-    }
-    let Some(session) = planner.workers.get_mut(worker) else {
-        return;
-    };
-    let last = session.entry.as_ref();
-    let last = last.map(|entry| (entry.condition, entry.incarnation));
-    if last != Some((entry.condition, entry.incarnation)) {
-        planner.is_dirty = true;
-        let WorkerEntry {
-            condition,
-            incarnation,
-            capacity,
-            ..
-        } = entry;
-        let line = format!(
-            "worker={worker} condition={condition:?} born={incarnation} cpu={} gpu={}",
-            capacity.cpu, capacity.gpu
-        );
-        context.info(LogTarget::Lease, line);
-    }
-    if last.is_none() {
-        session.hold.due_at = context.at;
-        planner.due_workers.insert((context.at, worker.clone()));
-    }
-    let is_draining = entry.condition == WorkerCondition::Draining;
-    let remaining = entry.remaining.filter(|_| is_draining);
-    session.drain_deadline = remaining.map(|remaining| context.at + remaining);
-    session.set_entry(Some(entry));
-}
-
 /// Handles a job's acceptance, phase or cancellation that was read back.
 pub fn apply_job(state: &mut BatchState, job: JobKey) {
     let Some(planner) = &mut state.planner else {
--- a/core/src/batch/step.rs
+++ b/core/src/batch/step.rs
@@ -2,6 +2,7 @@
 
 use crate::batch::dump;
 use crate::batch::intake;
+use crate::batch::membership;
 use crate::batch::message::BatchEffect;
 use crate::batch::message::BatchInput;
 use crate::batch::message::StoreStream;
@@ -212,9 +213,11 @@
         StoreStream::Workers => {
             match state.worker_reader.apply(outcome, worker_policy(), context) {
                 StreamUpdate::Unchanged => {}
-                StreamUpdate::Snapshot(records) => planner::load_workers(state, &records, context),
+                StreamUpdate::Snapshot(records) => {
+                    membership::load_workers(state, &records, context)
+                }
                 StreamUpdate::Changes(records) => {
-                    planner::apply_worker_changes(state, records, context)
+                    membership::apply_worker_changes(state, records, context)
                 }
             }
         }
