--- a/standin/tests/batch_late_orders.rs
+++ b/standin/tests/batch_late_orders.rs
@@ -17,8 +17,8 @@
 /// Number of tasks, which leave room for some to start again on other workers.
 const TASK_COUNT: u32 = 24;
 
-/// Times for which workers are down. A hold waits up to 2.1 s for its answer, and the next one is the
-/// first that reaches the new process.
+/// Times for which workers are down, about as long as a hold waits for its answer: the next one is
+/// sent to the old process and reaches the new one.
 const DOWN_TIMES: [TimeSpan; 4] = [
     TimeSpan(2_000),
     TimeSpan(2_200),
