--- a/standin/tests/batch_late_orders.rs
+++ b/standin/tests/batch_late_orders.rs
@@ -42,7 +42,7 @@
     ["w0", "w1", "w2", "w3"].map(WorkerName::from)
 }
 
-/// Submits long tasks that run on all workers.
+/// Submits long tasks, some of which run on workers that start again.
 fn submit_long_job(simulation: &mut BatchSimulation) {
     simulation.trace = Some(Vec::new());
     let job = simulations::key(1);
@@ -51,7 +51,7 @@
     simulation.submit(0, job, simulations::job(vec![step]));
 }
 
-/// Returns a simulation whose workers have been running long tasks for a while.
+/// Returns a simulation in which long tasks have been running for a while.
 fn busy_simulation(seed: u64) -> BatchSimulation {
     let mut simulation = simulations::simulation(seed, 3, 8);
     // The clock of a process starts anew, so times of the old one are far ahead of it.
