--- a/review/standin-2/fleet.py
+++ b/review/standin-2/fleet.py
@@ -9,6 +9,7 @@
 import base64
 import json
 import os
+import random
 import shutil
 import signal
 import socket
@@ -31,6 +32,7 @@
 MAX_LEASE_MS = 6_000
 MEMORY_BYTES = 260 * 1024 * 1024
 RESTART_DELAY_S = 0.5
+DAEMON_PORTS = (12_000, 30_000)
 STOP_S = 0.05
 MAX_CASE_S = 110
 MAX_LISTED_ENDS = 500
@@ -52,11 +54,22 @@
 """
 
 
+used_ports = set()
+
+
 def free_port():
-    """Returns a free loopback port."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+    """Returns a free loopback port outside the usual range of outgoing connections."""
+    while True:
+        port = random.randrange(*DAEMON_PORTS)
+        if port in used_ports:
+            continue
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        used_ports.add(port)
+        return port
 
 
 class Record:
