Show a late start at a worker that has started again

The first send of a start is left unanswered, the second one runs, and the end is taken note of. The worker starts again, and the first send is carried out as the first call of the new process, which knows neither the run nor a generation number.

A script plays this with the daemons as processes.

--- a/review/standin-2/fleet.py
+++ b/review/standin-2/fleet.py
@@ -101,6 +101,10 @@
     def heal(self):
         """Ends a cut. Channels that were silent meanwhile are reset."""
         self.is_cut = False
+        self.reset()
+
+    def reset(self):
+        """Resets all channels."""
         for writer in self.writers:
             writer.transport.abort()
 
@@ -287,7 +291,18 @@
         self.ended = asyncio.Event()
         self.is_registered = True
         self.is_up = True
-        self.on_start = None
+        self.hold_start = None
+        self.noted = set()
+
+    def restart(self):
+        """Starts the worker's process again under its name. It knows nothing of before."""
+        self.born = int(time.time() * 1000)
+        self.clock_start = time.monotonic()
+        self.fence, self.lease_end = 0, 0
+        self.running, self.ended_runs = {}, {}
+        self.finished, self.next_end = [], 1
+        self.is_registered = True
+        self.record.write(f"worker={self.name} started again")
 
     def clock(self):
         return int((time.monotonic() - self.clock_start) * 1000)
@@ -343,6 +358,8 @@
         if target == "/v1/hold":
             return await self.hold(order)
         if target == "/v1/run-start":
+            if self.hold_start and self.hold_start(daemon, order):
+                await asyncio.sleep(MAX_CASE_S)
             return self.start(daemon, order)
         if target == "/v1/run-stop":
             return self.stop(order)
@@ -358,6 +375,10 @@
 
     async def hold(self, order):
         self.extend(order)
+        for row in self.finished:
+            if row[0] <= order.get("lastSeen", 0) and (row[1], row[2], row[3]) not in self.noted:
+                self.noted.add((row[1], row[2], row[3]))
+                self.record.write(f"worker={self.name} task={row[1]} attempt={row[2]} end noted")
         self.finished = [row for row in self.finished if row[0] > order.get("lastSeen", 0)]
         if not self.finished and order.get("waitMs", 0) > 0:
             try:
@@ -374,10 +395,6 @@
         return max(0, min(99, int(done * 100)))
 
     def start(self, daemon, order):
-        if self.on_start:
-            self.on_start(order)
-        if not self.is_up:
-            raise ConnectionError
         task, attempt = order["task"], order["attempt"]
         if order["deadlineMs"] <= self.clock():
             return 409, self.answer(reason="late")
@@ -573,6 +590,10 @@
             writer.close()
 
 
+def encode(order):
+    return json.dumps(order).encode()
+
+
 async def wait_for(condition, seconds):
     """Waits until a condition holds. Returns whether it does."""
     end = time.monotonic() + seconds
