Log until when a planner extends leases and how long its successor waits

The line of an adopted term has lease_wait_ms, and a planner logs when it stops extending leases and when it goes on, with the age of its last confirmed read. Decisions do not change. MAX_EXTENSION_AGE moves to the new module.

--- a/core/src/batch/mod.rs
+++ b/core/src/batch/mod.rs
@@ -17,6 +17,7 @@
 pub mod dump;
 pub mod entry;
 pub mod evict;
+pub mod extension;
 pub mod fitness;
 pub mod forecast;
 pub mod guarantee;
--- a/core/src/batch/planner.rs
+++ b/core/src/batch/planner.rs
@@ -7,6 +7,7 @@
 
 use crate::batch::capacity::CapacityReservation;
 use crate::batch::completion;
+use crate::batch::extension::MAX_EXTENSION_AGE;
 use crate::batch::job::JobDefinition;
 use crate::batch::job::JobKey;
 use crate::batch::job::RunKey;
@@ -28,7 +29,6 @@
 use crate::batch::share::JobRates;
 use crate::batch::starts;
 use crate::batch::state::BatchState;
-use crate::batch::state::MAX_EXTENSION_AGE;
 use crate::batch::view::JobEntry;
 use crate::batch::writer::WriteQueue;
 use crate::context::StepContext;
@@ -155,6 +155,8 @@
     pub is_reconcile_due: bool,
     /// Earliest time of the next pass of `stops::reconcile`.
     pub next_reconcile_at: ClockTime,
+    /// Whether the planner extended leases at the last tick.
+    pub is_extending: bool,
     /// Run times and worker speeds learned in this term.
     pub run_times: RunTimeModel,
 }
@@ -190,6 +192,7 @@
             next_round_at: at,
             is_reconcile_due: true,
             next_reconcile_at: at,
+            is_extending: true,
             run_times: RunTimeModel::default(),
         }
     }
@@ -382,10 +385,11 @@
     }
     let jobs: Vec<JobKey> = planner.open_jobs.iter().copied().collect();
     let line = format!(
-        "term={} outcome=adopting open_jobs={} runs={}",
+        "term={} outcome=adopting open_jobs={} runs={} lease_wait_ms={}",
         planner.term,
         jobs.len(),
-        planner.live_runs.len()
+        planner.live_runs.len(),
+        lease_expires_at.since(context.at)
     );
     context.info(LogTarget::Plan, line);
     for job in jobs {
--- a/core/src/batch/state.rs
+++ b/core/src/batch/state.rs
@@ -4,6 +4,7 @@
 
 use crate::batch::backlog::BacklogTable;
 use crate::batch::catalog::QueueCatalog;
+use crate::batch::extension::MAX_EXTENSION_AGE;
 use crate::batch::intake::IntakeTable;
 use crate::batch::job::JobKey;
 use crate::batch::message::StoreStream;
@@ -31,12 +32,6 @@
 /// allows for one lost read, and is shorter than the time in which a cancellation must take effect.
 const MAX_VIEW_AGE: TimeSpan = TimeSpan(2_000);
 
-/// Maximum age of the last confirmed read of the batch topic for the planner to extend leases.
-///
-/// A planner that is cut off from the store keeps running work alive for this long. Its successor
-/// waits as long before it gives up a worker that it cannot reach.
-pub const MAX_EXTENSION_AGE: TimeSpan = TimeSpan(5_000);
-
 /// State of the batch reducer, kept between inputs.
 #[derive(Clone, Debug)]
 pub struct BatchState {
--- a/core/src/batch/step.rs
+++ b/core/src/batch/step.rs
@@ -4,6 +4,7 @@
 use crate::batch::catalog::QueueCatalog;
 use crate::batch::cold_start;
 use crate::batch::dump;
+use crate::batch::extension;
 use crate::batch::intake;
 use crate::batch::job::JobKey;
 use crate::batch::membership;
@@ -102,6 +103,7 @@
     term::tick(state, context);
     intake::tick(state, context);
     retention::tick(state, context);
+    extension::report(state, context);
     if let Some(planner) = &mut state.planner {
         planner.is_dirty = true;
         planner.is_reconcile_due = true;
--- a/standin/tests/batch_membership.rs
+++ b/standin/tests/batch_membership.rs
@@ -14,6 +14,7 @@
 use mustardpath_core::ids::WorkerName;
 use mustardpath_core::units::TimeSpan;
 use mustardpath_standin::batch::simulation::BatchSimulation;
+use mustardpath_standin::batch::simulation::START_TIME;
 
 /// Number of tasks of the job, each of which takes a whole worker.
 const TASK_COUNT: u32 = 4;
@@ -123,6 +124,23 @@
     }
 }
 
+/// Guards against an incident in which nothing shows until when a planner that was cut off from the
+/// store kept runs alive (review/6).
+#[test]
+fn a_planner_logs_for_how_long_it_extends_leases_without_the_store() {
+    let mut simulation = busy_simulation(4, TimeSpan(40_000));
+    simulation.faults.is_store_down = true;
+    let cut_at = simulation.now().since(START_TIME).0;
+    simulation.advance(TimeSpan(8_000));
+    simulation.faults.is_store_down = false;
+    simulation.advance(TimeSpan(2_000));
+    let stopped_at = simulations::time_of_line(&simulation, "outcome=extensions_stopped");
+    let resumed_at = simulations::time_of_line(&simulation, "outcome=extensions_resumed");
+    assert!(stopped_at > cut_at + 4_000, "{stopped_at} after {cut_at}");
+    assert!(stopped_at < cut_at + 6_000, "{stopped_at} after {cut_at}");
+    assert!(resumed_at > cut_at + 8_000, "{resumed_at} after {cut_at}");
+}
+
 /// Guards against a planner that was suspended and extends leases when it resumes, after another
 /// daemon has become the planner.
 #[test]
