Wait for every former planner that may extend leases

A region with the planner was cut off, and the daemon that took over was told to stop 0.4 s later. The third planner gave up the workers of the cut-off region 6.2 s after its adoption, while the first one had extended their leases until 5 s after its last read of the store.

Cause: the wait for a silent worker includes the time for which a former planner may extend leases only if the holder of the term before is another daemon. After a release there is no holder, and after a restart, a reload or a rejected append the holder is the claimant itself, so the planner before it was forgotten.

Evidence: on unchanged decisions the log has lease_wait_ms=11226 at the second planner and 6226 at the third, extensions_stopped with read_age_ms=5094 at the first, and a lapse 1.6 s after the second run began. The extensions kept their bound, and neither the clock of the worker nor the end of its entry plays a part.

Change: each daemon derives from the term records until when former holders may extend leases (ExtensionBound). The claim of another daemon moves that time to 5 s later, unless the holder before had released the term; nothing ends it earlier. A process that has just loaded the topic counts from the load. This works because a former holder's last confirmed read is older than the claim that follows its term, whatever happens to the term after that. The record of the term does not change.

--- a/core/src/batch/planner.rs
+++ b/core/src/batch/planner.rs
@@ -7,7 +7,6 @@
 
 use crate::batch::capacity::CapacityReservation;
 use crate::batch::completion;
-use crate::batch::extension::MAX_EXTENSION_AGE;
 use crate::batch::job::JobDefinition;
 use crate::batch::job::JobKey;
 use crate::batch::job::RunKey;
@@ -358,10 +357,9 @@
         return;
     };
     planner.job_rates = job_rates;
-    let mut lease_expires_at = context.at + WorkerSession::longest_lease(state.settings.max_lease);
-    if state.election.has_predecessor(&state.daemon) {
-        lease_expires_at = lease_expires_at + MAX_EXTENSION_AGE;
-    }
+    let extensions_end_at = context.at.max(state.election.extensions_end_at());
+    let longest_lease = WorkerSession::longest_lease(state.settings.max_lease);
+    let lease_expires_at = extensions_end_at + longest_lease;
     for (job, entry) in &state.view.jobs {
         let Some(definition) = entry.open_definition() else {
             adopt_unended_runs(planner, entry, lease_expires_at, context.at);
--- a/core/src/batch/step.rs
+++ b/core/src/batch/step.rs
@@ -258,6 +258,9 @@
         }
     }
     state.view = BatchView::load(&readable);
+    if let Some(record) = &state.view.term {
+        state.election.observe_term(record, context.at);
+    }
     let jobs: Vec<JobKey> = state.view.jobs.keys().copied().collect();
     for job in jobs {
         state.view.note_end(job, context.at);
--- a/core/src/batch/term.rs
+++ b/core/src/batch/term.rs
@@ -4,6 +4,7 @@
 
 use twox_hash::XxHash64;
 
+use crate::batch::extension::ExtensionBound;
 use crate::batch::fitness::VmResources;
 use crate::batch::message::WriterIdentity;
 use crate::batch::planner;
@@ -65,8 +66,8 @@
     claim: Option<(TermNumber, ClockTime)>,
     /// The newest term that this process has held. A process never holds the same term twice.
     last_held_term: TermNumber,
-    /// Holder of the term before the pending claim.
-    predecessor: Option<DaemonName>,
+    /// Time until which former holders of the term may extend leases.
+    extension_bound: ExtensionBound,
     /// Whether this daemon was the planner until it reloaded the topic.
     can_reclaim: bool,
     /// Sequence number of the next append in the claimed or held term.
@@ -97,12 +98,15 @@
         self.is_form_unknown = is_unknown;
     }
 
-    /// Returns whether another process may have held the term until the last claim of this one,
-    /// and may still act on it.
+    /// Records that a term record was read or loaded.
+    pub fn observe_term(&mut self, record: &TermRecord, at: ClockTime) {
+        self.extension_bound.observe(record, at);
+    }
+
+    /// Returns the time until which former holders of the term may extend leases.
     #[must_use]
-    pub fn has_predecessor(&self, daemon: &DaemonName) -> bool {
-        let predecessor = self.predecessor.as_ref();
-        predecessor.is_some_and(|predecessor| predecessor != daemon)
+    pub const fn extensions_end_at(&self) -> ClockTime {
+        self.extension_bound.ends_at()
     }
 
     /// Lets the next claim skip the election timeout, because this daemon was the planner.
@@ -163,6 +167,7 @@
         return;
     };
     state.election.set_form_unknown(false);
+    state.election.observe_term(&record, context.at);
     let is_own = record.incarnation == state.incarnation
         && record
             .holder
@@ -189,12 +194,6 @@
     if is_own && record.holder.is_none() && held_term == Some(record.term) {
         return end_released_term(state);
     }
-    let is_later_claim =
-        |(term, _): (TermNumber, ClockTime)| record.holder.is_some() && term > record.term;
-    if !is_own && state.election.claim.is_some_and(is_later_claim) {
-        // An earlier version of the daemon has claimed the term that this one skipped.
-        state.election.predecessor.clone_from(&record.holder);
-    }
     if !is_own && held_term.is_some_and(|term| term < record.term) {
         resign(state, "the topic has a newer term", context);
     }
@@ -279,7 +278,6 @@
         FORM_CHANGE_STEP
     };
     let term = TermNumber(last.saturating_add(step));
-    state.election.predecessor = record.and_then(|record| record.holder.clone());
     context.info(LogTarget::Term, format!("term={term} outcome=claiming"));
     state.election.can_reclaim = false;
     state.election.claim = Some((term, context.at));
--- /dev/null
+++ b/standin/tests/batch_hand_over.rs
@@ -0,0 +1,207 @@
+//! Several changes of the planner in a row, while the first one is cut off and works on.
+
+// Each test program uses some of the shared parts.
+#[allow(dead_code)]
+mod simulations;
+
+use mustardpath_core::batch::job::JobPhase;
+use mustardpath_core::ids::TermNumber;
+use mustardpath_core::units::TimeSpan;
+use mustardpath_standin::batch::simulation::BatchSimulation;
+
+/// Number of seeds of each test.
+const SEED_COUNT: u64 = 16;
+
+/// Number of tasks, each of which takes a whole worker. As many workers are idle.
+const TASK_COUNT: u32 = 4;
+
+/// Run time of a task, longer than any wait for a worker that cannot be reached.
+const RUN_TIME: TimeSpan = TimeSpan(60_000);
+
+/// Run time of a task that ends while the planner is cut off.
+const SHORT_RUN_TIME: TimeSpan = TimeSpan(7_000);
+
+/// Time for which the planner is cut off from the other daemons. The leases that it extends meanwhile
+/// end later.
+const CUT_TIME: TimeSpan = TimeSpan(9_800);
+
+/// Time that the second planner has before it is replaced. The first one extends leases for longer
+/// after the second one has claimed the term.
+const SECOND_TERM: TimeSpan = TimeSpan(400);
+
+/// Longest lease of a worker with a slow clock, and the time to place its tasks elsewhere.
+const LEASE_WAIT: TimeSpan = TimeSpan(6_500);
+
+/// Number of the job whose tasks run when the planner is cut off.
+const LONG_JOB: u64 = 1;
+
+/// How the second planner of a cut loses its term.
+#[derive(Clone, Copy, Debug)]
+enum SecondChange {
+    /// It is told to stop and releases the term.
+    Release,
+    /// It is killed, and its next process claims the term.
+    Restart,
+    /// All daemons but the first planner are killed and start again.
+    RestartOfAll,
+    /// It loads the topic again, because the history was lost, and claims a new term.
+    Reload,
+    /// The store rejects an append of its records, and it claims a new term.
+    Rejection,
+}
+
+const SECOND_CHANGES: [SecondChange; 5] = [
+    SecondChange::Release,
+    SecondChange::Restart,
+    SecondChange::RestartOfAll,
+    SecondChange::Reload,
+    SecondChange::Rejection,
+];
+
+/// Returns a simulation of 3 daemons and 8 workers, half of which run a task, and the planner.
+fn busy_simulation(seed: u64, run_time: TimeSpan) -> (BatchSimulation, usize) {
+    let mut simulation = simulations::simulation(seed, 3, 2 * TASK_COUNT);
+    simulation.trace = Some(Vec::new());
+    let job = simulations::key(LONG_JOB);
+    simulation.job_behavior.insert(job, (run_time, false));
+    let step = simulations::step(TASK_COUNT, 4);
+    simulation.submit(0, job, simulations::job(vec![step]));
+    simulation.advance(TimeSpan(1_000));
+    assert_eq!(simulation.checker.start_count, u64::from(TASK_COUNT));
+    let planner = simulation.planner().expect("there is a planner");
+    (simulation, planner)
+}
+
+/// Cuts the planner off, with the workers that run a task, until another daemon has taken over.
+/// Returns that daemon.
+fn cut_off(simulation: &mut BatchSimulation, planner: usize) -> usize {
+    simulation.faults.partitioned_daemons.insert(planner);
+    simulations::reserve_busy_workers(simulation, planner);
+    await_term_after(simulation, current_term(simulation));
+    simulation.planner().expect("there is a second planner")
+}
+
+/// Returns the newest term that a daemon holds, or `None` if there is no planner.
+fn current_term(simulation: &BatchSimulation) -> Option<TermNumber> {
+    let planner = simulation.planner_state();
+    planner.map(|planner| planner.term)
+}
+
+fn await_term_after(simulation: &mut BatchSimulation, term: Option<TermNumber>) {
+    for _ in 0..500 {
+        simulation.advance(TimeSpan(10));
+        if current_term(simulation) > term {
+            return;
+        }
+    }
+    panic!("no term after {term:?}: {:#?}", simulation.trace);
+}
+
+fn replace(simulation: &mut BatchSimulation, planner: usize, first: usize, change: SecondChange) {
+    match change {
+        SecondChange::Release => simulation.terminate(planner),
+        SecondChange::Restart => {
+            simulation.kill(planner);
+            simulation.start(planner);
+        }
+        SecondChange::RestartOfAll => {
+            for daemon in (0..simulation.daemon_count()).filter(|daemon| *daemon != first) {
+                simulation.kill(daemon);
+                simulation.start(daemon);
+            }
+        }
+        SecondChange::Reload => {
+            simulation.faults.read_failing_daemons.insert(planner);
+            simulation.advance(TimeSpan(400));
+            let other = simulation.daemon_count() - first - planner;
+            let submission = simulations::job(vec![simulations::step(1, 0)]);
+            simulation.submit(other, simulations::key(2), submission);
+            simulation.advance(TimeSpan(20));
+            simulation.store.compact();
+            simulation.faults.read_failing_daemons.clear();
+        }
+        SecondChange::Rejection => {
+            simulation.faults.max_append_records = 1;
+            let mut gang = simulations::step(2, 0);
+            gang.gang = true;
+            simulation.submit(planner, simulations::key(2), simulations::job(vec![gang]));
+        }
+    }
+}
+
+/// Guards against two runs of one task: the first planner, cut off with its workers, extended their
+/// leases for longer than the third one waited for them. The third one knew of the second planner
+/// only, which had released the term or was an earlier process of its own (review/6, TWICE).
+#[test]
+fn a_second_change_of_the_planner_starts_no_task_twice() {
+    let cases = (0..SEED_COUNT).flat_map(|seed| SECOND_CHANGES.map(|change| (seed, change)));
+    let mut failures = Vec::new();
+    for (seed, change) in cases {
+        let (mut simulation, first) = busy_simulation(seed, RUN_TIME);
+        let second = cut_off(&mut simulation, first);
+        simulation.advance(SECOND_TERM);
+        let term = current_term(&simulation);
+        replace(&mut simulation, second, first, change);
+        await_term_after(&mut simulation, term);
+        simulation.faults.max_append_records = 0;
+        simulation.advance(TimeSpan(20_000));
+        let starts = simulation.checker.start_count;
+        assert!(
+            starts >= 2 * u64::from(TASK_COUNT),
+            "seed {seed}, {change:?}: the tasks do not go on, {:#?}",
+            simulation.trace
+        );
+        if let Some(violation) = simulation.checker.violations.first() {
+            failures.push(format!("seed {seed}, {change:?}: {violation}"));
+        }
+    }
+    assert!(failures.is_empty(), "{failures:#?}");
+}
+
+/// Guards against tasks that have ended behind the cut and are started again, because their workers
+/// were given up while the first planner kept the leases. The ends are read when the cut is over
+/// (review/6, TWICE).
+#[test]
+fn tasks_that_ended_behind_a_cut_are_not_started_again() {
+    let cases = (0..SEED_COUNT).flat_map(|seed| SECOND_CHANGES.map(|change| (seed, change)));
+    let mut failures = Vec::new();
+    for (seed, change) in cases {
+        let (mut simulation, first) = busy_simulation(seed, SHORT_RUN_TIME);
+        let healed_at = simulation.now() + CUT_TIME;
+        let second = cut_off(&mut simulation, first);
+        simulation.advance(SECOND_TERM);
+        let term = current_term(&simulation);
+        replace(&mut simulation, second, first, change);
+        await_term_after(&mut simulation, term);
+        simulation.faults.max_append_records = 0;
+        simulation.advance(healed_at.since(simulation.now()));
+        simulation.faults.partitioned_daemons.clear();
+        simulation.faults.severed_links.clear();
+        simulation.advance(TimeSpan(10_000));
+        let phase = simulation.phase(simulations::key(LONG_JOB));
+        assert_eq!(phase, Some(JobPhase::Completed), "seed {seed}, {change:?}");
+        if let Some(violation) = simulation.checker.violations.first() {
+            failures.push(format!("seed {seed}, {change:?}: {violation}"));
+        }
+    }
+    assert!(failures.is_empty(), "{failures:#?}");
+}
+
+/// Guards against a wait for a planner that has released its term and extends no leases: the tasks of
+/// a lost worker would be started later after each planned restart.
+#[test]
+fn a_planner_after_a_release_waits_for_the_lease_only() {
+    for seed in 0..SEED_COUNT {
+        let (mut simulation, first) = busy_simulation(seed, RUN_TIME);
+        simulation.advance(TimeSpan(6_000));
+        let lost = simulations::busy_workers(&simulation);
+        simulation.faults.partitioned_workers.extend(lost);
+        let term = current_term(&simulation);
+        simulation.terminate(first);
+        await_term_after(&mut simulation, term);
+        simulation.advance(LEASE_WAIT);
+        let starts = simulation.checker.start_count;
+        assert_eq!(starts, 2 * u64::from(TASK_COUNT), "seed {seed}");
+        assert_eq!(simulation.checker.violations, Vec::<String>::new());
+    }
+}
--- a/standin/tests/batch_membership.rs
+++ b/standin/tests/batch_membership.rs
@@ -35,28 +35,6 @@
     simulation
 }
 
-/// Returns the workers that run a task.
-fn busy_workers(simulation: &BatchSimulation) -> Vec<WorkerName> {
-    let workers = simulation.workers.iter();
-    let busy = workers.filter(|(_, model)| !model.running.is_empty());
-    busy.map(|(worker, _)| worker.clone()).collect()
-}
-
-/// Makes the busy workers reachable for one daemon only.
-fn reserve_busy_workers(simulation: &mut BatchSimulation, daemon: usize) {
-    let busy = busy_workers(simulation);
-    for other in (0..simulation.daemon_count()).filter(|other| *other != daemon) {
-        let links = busy.iter().map(|worker| (other, worker.clone()));
-        simulation.faults.severed_links.extend(links);
-    }
-    let idle = simulation
-        .workers
-        .keys()
-        .filter(|worker| !busy.contains(worker));
-    let links = idle.map(|worker| (daemon, worker.clone()));
-    simulation.faults.severed_links.extend(links);
-}
-
 fn assert_invariants(simulation: &BatchSimulation) {
     assert!(
         simulation.checker.violations.is_empty(),
@@ -102,7 +80,7 @@
 #[test]
 fn runs_on_a_worker_that_refuses_connections_go_on() {
     let mut simulation = busy_simulation(1, TimeSpan(8_000));
-    let workers = busy_workers(&simulation);
+    let workers = simulations::busy_workers(&simulation);
     simulation.faults.refusing_workers.extend(workers);
     simulation.advance(TimeSpan(3_500));
     simulation.faults.refusing_workers.clear();
@@ -117,7 +95,7 @@
         let mut simulation = busy_simulation(seed, TimeSpan(40_000));
         let planner = simulation.planner().expect("there is a planner");
         simulation.faults.partitioned_daemons.insert(planner);
-        reserve_busy_workers(&mut simulation, planner);
+        simulations::reserve_busy_workers(&mut simulation, planner);
         simulation.advance(TimeSpan(30_000));
         assert_ne!(simulation.planner(), Some(planner), "seed {seed}");
         assert_invariants(&simulation);
@@ -148,7 +126,7 @@
     for seed in 0..8 {
         let mut simulation = busy_simulation(seed, TimeSpan(40_000));
         let planner = simulation.planner().expect("there is a planner");
-        reserve_busy_workers(&mut simulation, planner);
+        simulations::reserve_busy_workers(&mut simulation, planner);
         simulation.set_paused(planner, true);
         simulation.advance(TimeSpan(3_000));
         simulation.faults.partitioned_daemons.insert(planner);
@@ -164,7 +142,7 @@
 fn a_resumed_planner_gives_up_no_worker_before_it_has_read_the_topic() {
     let mut simulation = busy_simulation(3, TimeSpan(20_000));
     let planner = simulation.planner().expect("there is a planner");
-    let workers = busy_workers(&simulation);
+    let workers = simulations::busy_workers(&simulation);
     simulation.faults.refusing_workers.extend(workers);
     simulation.advance(TimeSpan(1_800));
     simulation.set_paused(planner, true);
@@ -230,7 +208,7 @@
 #[test]
 fn a_spoiled_entry_of_a_busy_worker_costs_no_work() {
     let mut simulation = busy_simulation(4, TimeSpan(9_000));
-    let workers = busy_workers(&simulation);
+    let workers = simulations::busy_workers(&simulation);
     let idle = simulation
         .workers
         .keys()
--- a/standin/tests/simulations/mod.rs
+++ b/standin/tests/simulations/mod.rs
@@ -6,6 +6,7 @@
 use mustardpath_core::batch::job::TaskDemand;
 use mustardpath_core::batch::settings::BatchSettings;
 use mustardpath_core::config::KeyDigest;
+use mustardpath_core::ids::WorkerName;
 use mustardpath_core::settings::DaemonSettings;
 use mustardpath_core::units::TimeSpan;
 use mustardpath_standin::batch::simulation::BatchSimulation;
@@ -78,6 +79,28 @@
     JobKey(0xabc0_0000 + number)
 }
 
+/// Returns the workers that run a task.
+pub fn busy_workers(simulation: &BatchSimulation) -> Vec<WorkerName> {
+    let workers = simulation.workers.iter();
+    let busy = workers.filter(|(_, model)| !model.running.is_empty());
+    busy.map(|(worker, _)| worker.clone()).collect()
+}
+
+/// Makes the busy workers reachable for one daemon only.
+pub fn reserve_busy_workers(simulation: &mut BatchSimulation, daemon: usize) {
+    let busy = busy_workers(simulation);
+    for other in (0..simulation.daemon_count()).filter(|other| *other != daemon) {
+        let links = busy.iter().map(|worker| (other, worker.clone()));
+        simulation.faults.severed_links.extend(links);
+    }
+    let idle = simulation
+        .workers
+        .keys()
+        .filter(|worker| !busy.contains(worker));
+    let links = idle.map(|worker| (daemon, worker.clone()));
+    simulation.faults.severed_links.extend(links);
+}
+
 /// Returns the time in milliseconds of the first trace line that contains the given text.
 ///
 /// # Panics
