Count runs of ended jobs for as long as a former planner may keep them

A team ran 16 accelerators at a cap of 8 on the stand-ins.

Cause: a new planner adopts the runs of a job that ended less than its own wait for silent workers ago. After a release that wait is the longest lease. But a planner that was cut off before the end was recorded does not know of it and extends the leases of these runs for 5 s, whoever plans by then, so they can go on for 11.2 s after that end.

Change: the runs are adopted if the end is at most that long ago.

--- a/core/src/batch/planner.rs
+++ b/core/src/batch/planner.rs
@@ -7,6 +7,7 @@
 
 use crate::batch::capacity::CapacityReservation;
 use crate::batch::completion;
+use crate::batch::extension::MAX_EXTENSION_AGE;
 use crate::batch::job::JobDefinition;
 use crate::batch::job::JobKey;
 use crate::batch::job::RunKey;
@@ -360,9 +361,14 @@
     let extensions_end_at = context.at.max(state.election.extensions_end_at());
     let longest_lease = WorkerSession::longest_lease(state.settings.max_lease);
     let lease_expires_at = extensions_end_at + longest_lease;
+    // A planner that was cut off before the end of a job was recorded does not know of that end.
+    let longest_run = MAX_EXTENSION_AGE + longest_lease;
     for (job, entry) in &state.view.jobs {
         let Some(definition) = entry.open_definition() else {
-            adopt_unended_runs(planner, entry, lease_expires_at, context.at);
+            let is_recent = |since: ClockTime| context.at.since(since) < longest_run;
+            if entry.unended_since.is_some_and(is_recent) {
+                adopt_unended_runs(planner, entry, lease_expires_at, context.at);
+            }
             continue;
         };
         planner.open_jobs.insert(*job);
@@ -403,14 +409,9 @@
     lease_expires_at: ClockTime,
     at: ClockTime,
 ) {
-    let longest_lease = lease_expires_at.since(at);
-    let is_recent = |since: ClockTime| at.since(since) < longest_lease;
     let Some(definition) = entry.definition.as_deref() else {
         return;
     };
-    if !entry.unended_since.is_some_and(is_recent) {
-        return;
-    }
     for unended in &entry.unended_runs {
         let key = &unended.key;
         let session = planner.session_or_new(&key.worker, key.incarnation, at);
--- a/standin/tests/batch_team_caps.rs
+++ b/standin/tests/batch_team_caps.rs
@@ -287,3 +287,34 @@
         assert_valid(&simulation, seed);
     }
 }
+
+/// Guards against runs of a cancelled job that the third planner forgets, although the first one,
+/// which is cut off and does not know of the cancellation, keeps them alive.
+#[test]
+fn runs_of_a_cancelled_job_count_after_a_second_change_of_the_planner() {
+    for seed in 0..10 {
+        let mut simulation = capped_simulation(seed, 8);
+        let step = simulations::step(8, 1);
+        submit(&mut simulation, "seals", 1, step, LONG_RUN);
+        simulation.advance(TimeSpan(2_000));
+        assert_eq!(simulation.checker.start_count, 8);
+        let first = simulation.planner().expect("there is a planner");
+        let other = (first + 1) % simulation.daemon_count();
+        simulation.faults.partitioned_daemons.insert(first);
+        simulations::reserve_busy_workers(&mut simulation, first);
+        simulation.advance(TimeSpan(100));
+        simulation.cancel(other, simulations::key(1));
+        simulation.advance(TimeSpan(6_500));
+        let second = simulation.planner().expect("there is a second planner");
+        assert_ne!(second, first, "seed {seed}");
+        simulation.terminate(second);
+        simulation.advance(TimeSpan(200));
+        let third = simulation.daemon_count() - first - second;
+        let key = simulations::key(2);
+        simulation.job_teams.insert(key, "seals".into());
+        simulation.submit(third, key, simulations::job(vec![simulations::step(8, 1)]));
+        simulation.advance(TimeSpan(20_000));
+        assert_eq!(count_lines(&simulation, 2, "outcome=started"), 8, "{seed}");
+        assert_valid(&simulation, seed);
+    }
+}
