Draw cuts between regions in which the planner changes twice

The draws cut off single daemons, workers and links.

A new set has such cuts beside the basic faults, with tasks that run three times as long. The successor is stopped, killed, killed with all other daemons, or loses the history of the store. The draws of the other sets do not change.

--- a/standin/tests/batch_interleavings.rs
+++ b/standin/tests/batch_interleavings.rs
@@ -26,6 +26,12 @@
 /// Number of seeds with the extended faults of a run in CI.
 const EXTENDED_SEED_COUNT: u64 = 200;
 
+/// Number of seeds with region cuts of a run in CI.
+const REGION_CUT_SEED_COUNT: u64 = 200;
+
+/// Factor on the run times of tasks with region cuts, which outlast most runs otherwise.
+const REGION_CUT_RUN_TIME_FACTOR: u64 = 3;
+
 /// Seeds that have found a fault:
 /// - 23704: a planner that resumed after a pause repeated an unanswered start although it had been
 ///   replaced, and the worker, which had restarted, accepted it.
@@ -101,6 +107,8 @@
     LateOrders,
     /// The basic faults, and teams with caps that change.
     Caps,
+    /// The basic faults, longer tasks, and cuts between regions in which the planner changes twice.
+    RegionCuts,
 }
 
 /// Returns a cap with room for at least `min_tasks` of the largest tasks.
@@ -183,6 +191,42 @@
     }
 }
 
+/// Cuts the planner off with some of the workers, replaces its successor soon afterwards, and heals
+/// the cut at times.
+fn inject_region_cut(simulation: &mut BatchSimulation, rng: &mut Rng) {
+    let Some(first) = simulation.planner() else {
+        return;
+    };
+    simulation.faults.partitioned_daemons.insert(first);
+    for number in 0..WORKER_COUNT {
+        let worker = WorkerName::from(format!("w{number}").as_str());
+        let is_cut_off = rng.bool();
+        let cut_daemons = (0..DAEMON_COUNT).filter(|daemon| (*daemon == first) != is_cut_off);
+        let links = cut_daemons.map(|daemon| (daemon, worker.clone()));
+        simulation.faults.severed_links.extend(links);
+    }
+    simulation.advance(TimeSpan(rng.u64(1_500..4_000)));
+    let second = simulation.planner().filter(|second| *second != first);
+    let others = (0..DAEMON_COUNT).filter(|daemon| *daemon != first);
+    match (rng.u32(0..4), second) {
+        (0, Some(second)) => simulation.terminate(second),
+        (1, Some(second)) => {
+            simulation.kill(second);
+            simulation.start(second);
+        }
+        (2, _) => others.for_each(|daemon| {
+            simulation.kill(daemon);
+            simulation.start(daemon);
+        }),
+        _ => simulation.store.compact(),
+    }
+    simulation.advance(TimeSpan(rng.u64(500..10_000)));
+    if rng.bool() {
+        simulation.faults.partitioned_daemons.clear();
+        simulation.faults.severed_links.clear();
+    }
+}
+
 fn inject_fault(simulation: &mut BatchSimulation, rng: &mut Rng) {
     let daemon = rng.usize(0..DAEMON_COUNT);
     let worker = random_worker(rng);
@@ -260,6 +304,10 @@
     if has_caps {
         set_caps(&mut simulation, &mut cap_rng, MAX_STEP_TASKS);
     }
+    let run_time_factor = match set {
+        FaultSet::RegionCuts => REGION_CUT_RUN_TIME_FACTOR,
+        _ => 1,
+    };
     let mut jobs: Vec<JobKey> = Vec::new();
     for number in 0..ACTION_COUNT {
         simulation.advance(TimeSpan(rng.u64(10..700)));
@@ -269,7 +317,7 @@
         match rng.u32(0..10) {
             0..=4 => {
                 let job = simulations::key(u64::from(number));
-                let run_time = TimeSpan(rng.u64(200..4_000));
+                let run_time = TimeSpan(rng.u64(200..4_000) * run_time_factor);
                 simulation
                     .job_behavior
                     .insert(job, (run_time, rng.u32(0..20) == 0));
@@ -296,6 +344,7 @@
             _ if set == FaultSet::Extended && rng.bool() => {
                 inject_extended_fault(&mut simulation, &mut rng);
             }
+            9 if set == FaultSet::RegionCuts => inject_region_cut(&mut simulation, &mut rng),
             _ => inject_fault(&mut simulation, &mut rng),
         }
     }
@@ -375,6 +424,15 @@
     run_seeds(first..first + count, FaultSet::Caps);
 }
 
+/// Guards against a planner that gives up workers while an earlier one, which is cut off with them,
+/// extends their leases (review/6).
+#[test]
+fn interleavings_with_region_cuts_preserve_invariants() {
+    let first = env_number("FIRST_SEED").unwrap_or(0);
+    let count = env_number("INTERLEAVINGS").unwrap_or(REGION_CUT_SEED_COUNT);
+    run_seeds(first..first + count, FaultSet::RegionCuts);
+}
+
 /// Guards against the return of faults that random seeds have found.
 #[test]
 fn regression_seeds_preserve_invariants() {
