Send no start for a placement that a newer record has taken back

What callers saw: on the stand-ins, a task whose end was listed was started once more and stopped at once. The lease of its first worker had lapsed in between, so no rule is broken, but the run is for nothing, and a run that is short can end before the stop.

Cause: a start is sent when its placement is read back, and again while it has no answer, and nothing looked at records of the task that are queued behind the placement. They take it back when the worker of an earlier run is heard again while the store is slow, or when a gang stops.

Change: a start is sent only if the newest record of the task, queued ones included, places it on that worker. stops::reconcile withdraws the others, and lists of the worker settle a start without an answer, as before.

Result: a_task_that_ends_while_its_next_placement_is_appended_is_not_started made two starts before and makes one now.

--- a/core/src/batch/starts.rs
+++ b/core/src/batch/starts.rs
@@ -14,6 +14,7 @@
 use crate::batch::session::RunPhase;
 use crate::batch::session::WorkerSession;
 use crate::batch::state::BatchState;
+use crate::batch::stops;
 use crate::batch::stops::PROBE_DELAY;
 use crate::context::StepContext;
 use crate::effect::LogTarget;
@@ -35,13 +36,16 @@
     context: &mut StepContext<'_>,
 ) {
     let worker = &key.worker;
-    // `stops::reconcile` withdraws a placement that was recorded and not started.
-    if !state.is_view_current(context.at) {
-        return;
-    }
-    let Some(planner) = &mut state.planner else {
+    let Some(planner) = &state.planner else {
         return;
     };
+    // A newer record can have been queued while the placement was appended, for example because the
+    // worker of an earlier run was heard again. `stops::reconcile` withdraws a placement that was
+    // recorded and not started.
+    let is_newest = stops::is_assigned(state, planner, worker, &run);
+    if !is_newest || !state.is_view_current(context.at) {
+        return;
+    }
     let Some(session) = planner.workers.get(worker) else {
         return;
     };
@@ -113,6 +117,8 @@
     // After a pause of this process another planner may hold the term, and the worker may have
     // restarted.
     let is_current = state.is_view_current(context.at);
+    let planner = state.planner.as_deref();
+    let is_wanted = planner.is_some_and(|planner| stops::is_assigned(state, planner, worker, &run));
     let Some(session) = state.worker_mut(worker) else {
         return;
     };
@@ -152,7 +158,7 @@
     let is_refused = matches!(outcome, OrderOutcome::Refused { .. });
     let deadline = slot.start_deadline;
     let is_valid = deadline.is_some_and(|deadline| context.at < deadline.expires_at);
-    let can_resend = is_current && is_valid && !is_refused && !slot.is_evicted;
+    let can_resend = is_current && is_wanted && is_valid && !is_refused && !slot.is_evicted;
     if slot.phase != RunPhase::Starting {
         return;
     }
--- a/core/src/batch/stops.rs
+++ b/core/src/batch/stops.rs
@@ -122,7 +122,7 @@
 }
 
 /// Returns whether the newest record of the task assigns it to this run.
-fn is_assigned(
+pub fn is_assigned(
     state: &BatchState,
     planner: &PlannerState,
     worker: &WorkerName,
--- a/standin/tests/batch_faults.rs
+++ b/standin/tests/batch_faults.rs
@@ -464,3 +464,45 @@
         assert_invariants(&simulation);
     }
 }
+
+/// Advances to the first log line that contains a text.
+fn advance_to_line(simulation: &mut BatchSimulation, text: &str) {
+    for _ in 0..20_000 {
+        let mut lines = simulation.trace.iter().flatten();
+        if lines.any(|line| line.contains(text)) {
+            return;
+        }
+        simulation.advance(TimeSpan(1));
+    }
+    panic!("no line with {text:?}: {:#?}", simulation.trace);
+}
+
+/// Guards against a start of a task that is known to be done: it was placed elsewhere after its
+/// worker had been given up, the append of the placement took long, and the worker was heard again
+/// with the end meanwhile (region cuts, seed 304).
+#[test]
+fn a_task_that_ends_while_its_next_placement_is_appended_is_not_started() {
+    for seed in 0..10 {
+        let mut simulation = simulations::simulation(seed, 3, 8);
+        simulation.trace = Some(Vec::new());
+        let job = simulations::key(1);
+        simulation
+            .job_behavior
+            .insert(job, (TimeSpan(4_000), false));
+        simulation.submit(0, job, simulations::job(vec![simulations::step(1, 1)]));
+        simulation.advance(TimeSpan(1_000));
+        let worker = first_worker_with_runs(&simulation);
+        simulation.faults.partitioned_workers.insert(worker.clone());
+        advance_to_line(&mut simulation, "outcome=runs_gone");
+        // An append takes longer than the next probe of the worker after the cut.
+        simulation.faults.append_time = TimeSpan(650);
+        advance_to_line(&mut simulation, "/2 worker=");
+        simulation.faults.partitioned_workers.clear();
+        simulation.advance(TimeSpan(1_000));
+        simulation.faults.append_time = TimeSpan(0);
+        simulation.advance(TimeSpan(5_000));
+        assert_eq!(simulation.checker.start_count, 1, "seed {seed}");
+        assert_eq!(simulation.phase(job), Some(JobPhase::Completed));
+        assert_invariants(&simulation);
+    }
+}
--- a/standin/tests/batch_interleavings.rs
+++ b/standin/tests/batch_interleavings.rs
@@ -43,7 +43,8 @@
 ///   which then discarded an end that no planner had seen.
 /// - 205545: the lease of a worker that had started again was longer than the planner believed, and
 ///   its runs were given up while they went on.
-const REGRESSION_SEEDS: [u64; 5] = [23_704, 24_922, 26_882, 43_009, 205_545];
+/// - 1640: a start without an answer was sent again after the task had turned out to be done.
+const REGRESSION_SEEDS: [u64; 6] = [1_640, 23_704, 24_922, 26_882, 43_009, 205_545];
 
 /// Seeds with the extended faults that have found a fault:
 /// - 101005: a probe acknowledged ends of one incarnation of a worker and reached the next one, which
