Resign before a response that contains a newer term is applied

A planner was suspended for longer than its successor waits for workers out of its reach, resumed, and started tasks there that the successor had placed elsewhere.

Cause: the records of a response are applied in their order. The planner reads its placements back, the view counts as current because the read was sent after the pause, and the starts go out, although the same response holds the claim of the successor further on.

No start was sent before the pause, so late orders are ruled out.

Change: a planner resigns before it applies a response with a term record that is newer than its own, or of an unknown form. The check in the handler of single term records goes, since this one always comes first.

--- a/core/src/batch/step.rs
+++ b/core/src/batch/step.rs
@@ -291,6 +291,7 @@
     records: &[StreamRecord],
     context: &mut StepContext<'_>,
 ) {
+    term::resign_if_replaced(state, records, context);
     for record in records {
         match &record.change {
             StreamChange::Batch(batch) => {
--- a/core/src/batch/term.rs
+++ b/core/src/batch/term.rs
@@ -6,11 +6,14 @@
 
 use crate::batch::extension::ExtensionBound;
 use crate::batch::fitness::VmResources;
+use crate::batch::message::StreamChange;
+use crate::batch::message::StreamRecord;
 use crate::batch::message::WriterIdentity;
 use crate::batch::planner;
 use crate::batch::planner::PlannerState;
 use crate::batch::record::BatchRecord;
 use crate::batch::record::RECORD_FORM;
+use crate::batch::record::RecordValue;
 use crate::batch::record::TermRecord;
 use crate::batch::state::BatchState;
 use crate::batch::writer::WriteSummary;
@@ -194,9 +197,6 @@
     if is_own && record.holder.is_none() && held_term == Some(record.term) {
         return end_released_term(state);
     }
-    if !is_own && held_term.is_some_and(|term| term < record.term) {
-        resign(state, "the topic has a newer term", context);
-    }
     if !is_own
         && state
             .election
@@ -229,6 +229,33 @@
     state.election.last_write_at = context.at;
 }
 
+/// Stops planning if a response of the topic contains a newer term.
+///
+/// The response can also contain placements of this planner, which its successor has read before it
+/// claimed the term. They must not be started when they are read back, so this comes first.
+pub fn resign_if_replaced(
+    state: &mut BatchState,
+    records: &[StreamRecord],
+    context: &mut StepContext<'_>,
+) {
+    let Some(term) = state.planner.as_ref().map(|planner| planner.term) else {
+        return;
+    };
+    let is_newer_term = |record: &StreamRecord| match &record.change {
+        StreamChange::Batch(batch) => {
+            matches!(&batch.value, Some(RecordValue::Term(newer)) if newer.term > term)
+        }
+        StreamChange::UnknownTermForm { .. } => true,
+        StreamChange::Unreadable { .. }
+        | StreamChange::Catalog(_)
+        | StreamChange::Domain { .. }
+        | StreamChange::Worker { .. } => false,
+    };
+    if records.iter().any(is_newer_term) {
+        resign(state, "the topic has a newer term", context);
+    }
+}
+
 /// Releases the term before the process ends, so that a successor can claim without a timeout.
 pub fn release(state: &mut BatchState, context: &mut StepContext<'_>) {
     let Some(planner) = &state.planner else {
--- a/standin/tests/batch_hand_over.rs
+++ b/standin/tests/batch_hand_over.rs
@@ -5,7 +5,9 @@
 mod simulations;
 
 use mustardpath_core::batch::job::JobPhase;
+use mustardpath_core::batch::job::RunKey;
 use mustardpath_core::ids::TermNumber;
+use mustardpath_core::ids::WorkerName;
 use mustardpath_core::units::TimeSpan;
 use mustardpath_standin::batch::simulation::BatchSimulation;
 
@@ -205,3 +207,55 @@
         assert_eq!(simulation.checker.violations, Vec::<String>::new());
     }
 }
+
+/// Guards against starts that a planner sends when it resumes after a pause: it read its placements
+/// back in one response with the claim of its successor, which had placed the tasks elsewhere
+/// meanwhile (extended interleavings, seed 2619).
+#[test]
+fn a_resumed_planner_starts_no_tasks_that_it_reads_back_with_its_replacement() {
+    for seed in 0..SEED_COUNT {
+        let mut simulation = simulations::simulation(seed, 3, 2 * TASK_COUNT);
+        simulation.trace = Some(Vec::new());
+        let first = simulation.planner().expect("there is a planner");
+        // The planner places the second job without a read of the topic, when the first one ends.
+        for (number, run_time) in [(2, TimeSpan(1_000)), (LONG_JOB, RUN_TIME)] {
+            let job = simulations::key(number);
+            simulation.job_behavior.insert(job, (run_time, false));
+            let step = simulations::step(TASK_COUNT, 4);
+            simulation.submit(first, job, simulations::job(vec![step]));
+            simulation.advance(TimeSpan(300));
+        }
+        simulation.faults.read_failing_daemons.insert(first);
+        let placed = await_placements(&mut simulation);
+        simulation.faults.lost_append_permille = 1_000;
+        simulation.advance(TimeSpan(10));
+        simulation.faults.lost_append_permille = 0;
+        simulation.set_paused(first, true);
+        simulation.faults.read_failing_daemons.clear();
+        simulations::reserve_workers(&mut simulation, &placed, first);
+        simulation.advance(TimeSpan(15_000));
+        let starts = simulation.checker.start_count;
+        assert_eq!(starts, 2 * u64::from(TASK_COUNT), "seed {seed}");
+        simulation.set_paused(first, false);
+        simulation.advance(TimeSpan(1_000));
+        assert_eq!(simulation.checker.start_count, starts, "seed {seed}");
+        assert_eq!(simulation.checker.violations, Vec::<String>::new());
+    }
+}
+
+/// Advances until the planner has placed tasks whose placements are not stored yet. Returns their
+/// workers.
+fn await_placements(simulation: &mut BatchSimulation) -> Vec<WorkerName> {
+    for _ in 0..1_000 {
+        simulation.advance(TimeSpan(1));
+        let planner = simulation.planner_state().expect("there is a planner");
+        let busy = planner.workers.iter();
+        let is_long = |run: &RunKey| run.task.step.job == simulations::key(LONG_JOB);
+        let busy = busy.filter(|(_, session)| session.runs.keys().any(is_long));
+        let busy: Vec<WorkerName> = busy.map(|(worker, _)| worker.clone()).collect();
+        if !busy.is_empty() {
+            return busy;
+        }
+    }
+    panic!("no placements: {:#?}", simulation.trace);
+}
--- a/standin/tests/batch_interleavings.rs
+++ b/standin/tests/batch_interleavings.rs
@@ -50,7 +50,9 @@
 /// - 101005: a probe acknowledged ends of one incarnation of a worker and reached the next one, which
 ///   then discarded an end that no planner had seen.
 /// - 204335: as 205545 above.
-const EXTENDED_REGRESSION_SEEDS: [u64; 2] = [101_005, 204_335];
+/// - 2619: a planner that resumed after a pause started tasks that it read back in one response with
+///   the newer term of its successor.
+const EXTENDED_REGRESSION_SEEDS: [u64; 3] = [2_619, 101_005, 204_335];
 
 /// Number of actions per seed.
 const ACTION_COUNT: u32 = 40;
--- a/standin/tests/simulations/mod.rs
+++ b/standin/tests/simulations/mod.rs
@@ -86,19 +86,21 @@
     busy.map(|(worker, _)| worker.clone()).collect()
 }
 
-/// Makes the busy workers reachable for one daemon only.
+/// Makes the busy workers reachable for one daemon only, and the others for all but that one.
 pub fn reserve_busy_workers(simulation: &mut BatchSimulation, daemon: usize) {
     let busy = busy_workers(simulation);
-    for other in (0..simulation.daemon_count()).filter(|other| *other != daemon) {
-        let links = busy.iter().map(|worker| (other, worker.clone()));
+    reserve_workers(simulation, &busy, daemon);
+}
+
+/// Makes some workers reachable for one daemon only, and the others for all but that one.
+pub fn reserve_workers(simulation: &mut BatchSimulation, reserved: &[WorkerName], daemon: usize) {
+    for worker in simulation.workers.keys() {
+        let is_reserved = reserved.contains(worker);
+        let daemons = 0..simulation.daemon_count();
+        let cut_off = daemons.filter(|other| (*other == daemon) != is_reserved);
+        let links = cut_off.map(|other| (other, worker.clone()));
         simulation.faults.severed_links.extend(links);
     }
-    let idle = simulation
-        .workers
-        .keys()
-        .filter(|worker| !busy.contains(worker));
-    let links = idle.map(|worker| (daemon, worker.clone()));
-    simulation.faults.severed_links.extend(links);
 }
 
 /// Returns the time in milliseconds of the first trace line that contains the given text.
