Move the adoption of runs into a module of its own

The module adoption.rs has what a new planner takes over: open jobs, their runs and the runs of ended jobs, with one function for each.

--- a/core/src/batch/mod.rs
+++ b/core/src/batch/mod.rs
@@ -6,6 +6,7 @@
 //! [`reducer::apply`](crate::reducer::apply).
 
 pub mod account;
+mod adoption;
 mod apply_plan;
 pub mod backlog;
 mod cap_preemption;
--- a/core/src/batch/planner.rs
+++ b/core/src/batch/planner.rs
@@ -7,16 +7,13 @@
 
 use crate::batch::capacity::CapacityReservation;
 use crate::batch::completion;
-use crate::batch::extension::MAX_EXTENSION_AGE;
 use crate::batch::job::JobDefinition;
 use crate::batch::job::JobKey;
 use crate::batch::job::RunKey;
 use crate::batch::job::StepDefinition;
 use crate::batch::job::StepKey;
 use crate::batch::job::TaskKey;
-use crate::batch::message::StoreStream;
 use crate::batch::message::WorkerOrder;
-use crate::batch::reader::StreamReader;
 use crate::batch::record::BatchRecord;
 use crate::batch::record::IncarnationKey;
 use crate::batch::record::TaskRecord;
@@ -349,78 +346,6 @@
     *last
 }
 
-/// Rebuilds the runs and open jobs from the records of earlier planners at the start of a term, and
-/// finalizes jobs that have ended.
-pub fn adopt(state: &mut BatchState, context: &mut StepContext<'_>) {
-    state.worker_reader = StreamReader::new(StoreStream::Workers);
-    let job_rates = JobRates::rebuild(state);
-    let Some(planner) = &mut state.planner else {
-        return;
-    };
-    planner.job_rates = job_rates;
-    let extensions_end_at = context.at.max(state.election.extensions_end_at());
-    let longest_lease = WorkerSession::longest_lease(state.settings.max_lease);
-    let lease_expires_at = extensions_end_at + longest_lease;
-    // A planner that was cut off before the end of a job was recorded does not know of that end.
-    let longest_run = MAX_EXTENSION_AGE + longest_lease;
-    for (job, entry) in &state.view.jobs {
-        let Some(definition) = entry.open_definition() else {
-            let is_recent = |since: ClockTime| context.at.since(since) < longest_run;
-            if entry.unended_since.is_some_and(is_recent) {
-                adopt_unended_runs(planner, entry, lease_expires_at, context.at);
-            }
-            continue;
-        };
-        planner.open_jobs.insert(*job);
-        planner.waiting_jobs.insert(*job);
-        for (task, record, step) in placed_tasks(*job, definition, &entry.steps) {
-            let (TaskState::Placed(key) | TaskState::Stopping(key)) = &record.state else {
-                continue;
-            };
-            let session = planner.session_or_new(&key.worker, key.incarnation, context.at);
-            session.lease_expires_at = lease_expires_at;
-            let run = RunKey {
-                task,
-                attempt: record.attempt,
-            };
-            let slot = new_slot(definition, step, RunPhase::Adopted, context.at);
-            planner.add_slot(&key.worker, run, slot);
-        }
-    }
-    let jobs: Vec<JobKey> = planner.open_jobs.iter().copied().collect();
-    let line = format!(
-        "term={} outcome=adopting open_jobs={} runs={} lease_wait_ms={}",
-        planner.term,
-        jobs.len(),
-        planner.live_runs.len(),
-        lease_expires_at.since(context.at)
-    );
-    context.info(LogTarget::Plan, line);
-    for job in jobs {
-        completion::finalize_job(state, job, context);
-    }
-}
-
-/// Adds the recorded runs of a job that ended a short time ago. They count against the cap of their
-/// team until their workers' lists or the end of the lease show that they have ended.
-fn adopt_unended_runs(
-    planner: &mut PlannerState,
-    entry: &JobEntry,
-    lease_expires_at: ClockTime,
-    at: ClockTime,
-) {
-    let Some(definition) = entry.definition.as_deref() else {
-        return;
-    };
-    for unended in &entry.unended_runs {
-        let key = &unended.key;
-        let session = planner.session_or_new(&key.worker, key.incarnation, at);
-        session.lease_expires_at = lease_expires_at;
-        let slot = new_slot(definition, &unended.step, RunPhase::Adopted, at);
-        planner.add_slot(&key.worker, unended.run, slot);
-    }
-}
-
 /// Rebuilds the job rates of the teams from the view, because teams have received weights.
 pub fn rebuild_job_rates(state: &mut BatchState) {
     let job_rates = JobRates::rebuild(state);
@@ -544,24 +469,6 @@
     }
 }
 
-/// Returns the tasks of a job that were placed at least once, with their state and step.
-fn placed_tasks<'a>(
-    job: JobKey,
-    definition: &'a JobDefinition,
-    steps: &'a IndexMap<(u32, u32), Vec<TaskRecord>>,
-) -> impl Iterator<Item = (TaskKey, &'a TaskRecord, &'a StepDefinition)> {
-    steps.iter().flat_map(move |((occurrence, index), tasks)| {
-        let step = StepKey {
-            job,
-            occurrence: *occurrence,
-            step: *index,
-        };
-        let definition = definition.submission.steps.get(*index as usize);
-        let tasks = (0_u32..).zip(tasks);
-        tasks.filter_map(move |(index, task)| Some((TaskKey { step, index }, task, definition?)))
-    })
-}
-
 /// Returns the start order of a run, or `None` if its job has ended or its task was never placed.
 ///
 /// `lease_end` is in milliseconds of the worker's clock.
--- a/core/src/batch/term.rs
+++ b/core/src/batch/term.rs
@@ -4,12 +4,12 @@
 
 use twox_hash::XxHash64;
 
+use crate::batch::adoption;
 use crate::batch::extension::ExtensionBound;
 use crate::batch::fitness::VmResources;
 use crate::batch::message::StreamChange;
 use crate::batch::message::StreamRecord;
 use crate::batch::message::WriterIdentity;
-use crate::batch::planner;
 use crate::batch::planner::PlannerState;
 use crate::batch::record::BatchRecord;
 use crate::batch::record::RECORD_FORM;
@@ -191,7 +191,7 @@
         context.update_metric(MetricName::TermsClaimed, 1);
         report_shortages(state, record.term, context);
         state.planner = Some(Box::new(PlannerState::new(record.term, context.at)));
-        planner::adopt(state, context);
+        adoption::adopt(state, context);
         return;
     }
     if is_own && record.holder.is_none() && held_term == Some(record.term) {
