Share the setup of the tests of two changes of the planner

Two tests repeated the steps that replace two planners in a row, and the loop over seeds and kinds of changes.

--- a/standin/tests/batch_hand_over.rs
+++ b/standin/tests/batch_hand_over.rs
@@ -8,8 +8,10 @@
 use mustardpath_core::batch::job::RunKey;
 use mustardpath_core::ids::TermNumber;
 use mustardpath_core::ids::WorkerName;
+use mustardpath_core::units::ClockTime;
 use mustardpath_core::units::TimeSpan;
 use mustardpath_standin::batch::simulation::BatchSimulation;
+use mustardpath_standin::batch::simulation::START_TIME;
 
 /// Number of seeds of each test.
 const SEED_COUNT: u64 = 16;
@@ -60,6 +62,9 @@
     SecondChange::Rejection,
 ];
 
+/// Time at which the planner is cut off: 2 s for the election and 1 s of work after the start.
+const CUT_AT: ClockTime = ClockTime(START_TIME.0 + 3_000);
+
 /// Returns a simulation of 3 daemons and 8 workers, half of which run a task, and the planner.
 fn busy_simulation(seed: u64, run_time: TimeSpan) -> (BatchSimulation, usize) {
     let mut simulation = simulations::simulation(seed, 3, 2 * TASK_COUNT);
@@ -131,21 +136,38 @@
     }
 }
 
+/// Cuts the planner off with the workers that run a task, and replaces its successor as well.
+fn change_twice(seed: u64, run_time: TimeSpan, change: SecondChange) -> BatchSimulation {
+    let (mut simulation, first) = busy_simulation(seed, run_time);
+    let second = cut_off(&mut simulation, first);
+    simulation.advance(SECOND_TERM);
+    let term = current_term(&simulation);
+    replace(&mut simulation, second, first, change);
+    await_term_after(&mut simulation, term);
+    simulation.faults.max_append_records = 0;
+    simulation
+}
+
+/// Plays a case with each seed and each way to replace the second planner, and asserts that none
+/// violates an invariant.
+fn assert_all_valid(case: impl Fn(u64, SecondChange) -> BatchSimulation) {
+    let cases = (0..SEED_COUNT).flat_map(|seed| SECOND_CHANGES.map(|change| (seed, change)));
+    let failures = cases.filter_map(|(seed, change)| {
+        let simulation = case(seed, change);
+        let violation = simulation.checker.violations.first()?;
+        Some(format!("seed {seed}, {change:?}: {violation}"))
+    });
+    let failures: Vec<String> = failures.collect();
+    assert!(failures.is_empty(), "{failures:#?}");
+}
+
 /// Guards against two runs of one task: the first planner, cut off with its workers, extended their
 /// leases for longer than the third one waited for them. The third one knew of the second planner
 /// only, which had released the term or was an earlier process of its own (review/6, TWICE).
 #[test]
 fn a_second_change_of_the_planner_starts_no_task_twice() {
-    let cases = (0..SEED_COUNT).flat_map(|seed| SECOND_CHANGES.map(|change| (seed, change)));
-    let mut failures = Vec::new();
-    for (seed, change) in cases {
-        let (mut simulation, first) = busy_simulation(seed, RUN_TIME);
-        let second = cut_off(&mut simulation, first);
-        simulation.advance(SECOND_TERM);
-        let term = current_term(&simulation);
-        replace(&mut simulation, second, first, change);
-        await_term_after(&mut simulation, term);
-        simulation.faults.max_append_records = 0;
+    assert_all_valid(|seed, change| {
+        let mut simulation = change_twice(seed, RUN_TIME, change);
         simulation.advance(TimeSpan(20_000));
         let starts = simulation.checker.start_count;
         assert!(
@@ -153,11 +175,8 @@
             "seed {seed}, {change:?}: the tasks do not go on, {:#?}",
             simulation.trace
         );
-        if let Some(violation) = simulation.checker.violations.first() {
-            failures.push(format!("seed {seed}, {change:?}: {violation}"));
-        }
-    }
-    assert!(failures.is_empty(), "{failures:#?}");
+        simulation
+    });
 }
 
 /// Guards against tasks that have ended behind the cut and are started again, because their workers
@@ -165,28 +184,16 @@
 /// (review/6, TWICE).
 #[test]
 fn tasks_that_ended_behind_a_cut_are_not_started_again() {
-    let cases = (0..SEED_COUNT).flat_map(|seed| SECOND_CHANGES.map(|change| (seed, change)));
-    let mut failures = Vec::new();
-    for (seed, change) in cases {
-        let (mut simulation, first) = busy_simulation(seed, SHORT_RUN_TIME);
-        let healed_at = simulation.now() + CUT_TIME;
-        let second = cut_off(&mut simulation, first);
-        simulation.advance(SECOND_TERM);
-        let term = current_term(&simulation);
-        replace(&mut simulation, second, first, change);
-        await_term_after(&mut simulation, term);
-        simulation.faults.max_append_records = 0;
-        simulation.advance(healed_at.since(simulation.now()));
+    assert_all_valid(|seed, change| {
+        let mut simulation = change_twice(seed, SHORT_RUN_TIME, change);
+        simulation.advance((CUT_AT + CUT_TIME).since(simulation.now()));
         simulation.faults.partitioned_daemons.clear();
         simulation.faults.severed_links.clear();
         simulation.advance(TimeSpan(10_000));
         let phase = simulation.phase(simulations::key(LONG_JOB));
         assert_eq!(phase, Some(JobPhase::Completed), "seed {seed}, {change:?}");
-        if let Some(violation) = simulation.checker.violations.first() {
-            failures.push(format!("seed {seed}, {change:?}: {violation}"));
-        }
-    }
-    assert!(failures.is_empty(), "{failures:#?}");
+        simulation
+    });
 }
 
 /// Guards against a wait for a planner that has released its term and extends no leases: the tasks of
