Say first which term records change nothing

ExtensionBound::observe tested the order of two terms twice. A record of an older term now returns at once. No effect on behaviour: the tests of the bound and of the hand-overs hold.

--- a/core/src/batch/extension.rs
+++ b/core/src/batch/extension.rs
@@ -34,14 +34,16 @@
     /// as a claim that was stored just now.
     pub fn observe(&mut self, record: &TermRecord, at: ClockTime) {
         let newest = self.newest.as_ref();
-        let is_claim = newest.is_none_or(|newest| newest.term < record.term);
-        if is_claim && !newest.is_some_and(|newest| is_ended_by(newest, record)) {
-            self.ends_at = at + MAX_EXTENSION_AGE;
+        if newest.is_some_and(|newest| newest.term > record.term) {
+            // The load returned pages that are out of date.
+            return;
         }
-        // A load of pages that are out of date can show an older term.
-        if newest.is_none_or(|newest| newest.term <= record.term) {
-            self.newest = Some(record.clone());
+        let is_covered =
+            newest.is_some_and(|newest| newest.term == record.term || is_ended_by(newest, record));
+        if !is_covered {
+            self.ends_at = at + MAX_EXTENSION_AGE;
         }
+        self.newest = Some(record.clone());
     }
 
     /// Returns the time until which former holders may extend leases.
