--- a/standin/tests/batch_hand_over.rs
+++ b/standin/tests/batch_hand_over.rs
@@ -94,6 +94,7 @@
     planner.map(|planner| planner.term)
 }
 
+/// Advances until a daemon holds a later term than the given one.
 fn await_term_after(simulation: &mut BatchSimulation, term: Option<TermNumber>) {
     for _ in 0..500 {
         simulation.advance(TimeSpan(10));
@@ -104,6 +105,7 @@
     panic!("no term after {term:?}: {:#?}", simulation.trace);
 }
 
+/// Makes the second planner, `planner`, lose its term. The limit on appends of a rejection stays.
 fn replace(simulation: &mut BatchSimulation, planner: usize, first: usize, change: SecondChange) {
     match change {
         SecondChange::Release => simulation.terminate(planner),
@@ -118,9 +120,10 @@
             }
         }
         SecondChange::Reload => {
+            // The planner falls behind, and the records that it would read next expire.
             simulation.faults.read_failing_daemons.insert(planner);
             simulation.advance(TimeSpan(400));
-            let other = simulation.daemon_count() - first - planner;
+            let other = simulations::other_daemon(simulation, &[first, planner]);
             let submission = simulations::job(vec![simulations::step(1, 0)]);
             simulation.submit(other, simulations::key(2), submission);
             simulation.advance(TimeSpan(20));
--- a/standin/tests/batch_team_caps.rs
+++ b/standin/tests/batch_team_caps.rs
@@ -309,7 +309,7 @@
         assert_ne!(second, first, "seed {seed}");
         simulation.terminate(second);
         simulation.advance(TimeSpan(200));
-        let third = simulation.daemon_count() - first - second;
+        let third = simulations::other_daemon(&simulation, &[first, second]);
         let key = simulations::key(2);
         simulation.job_teams.insert(key, "seals".into());
         simulation.submit(third, key, simulations::job(vec![simulations::step(8, 1)]));
--- a/standin/tests/simulations/mod.rs
+++ b/standin/tests/simulations/mod.rs
@@ -79,6 +79,17 @@
     JobKey(0xabc0_0000 + number)
 }
 
+/// Returns the first daemon that is none of the given ones.
+///
+/// # Panics
+///
+/// Panics if there is no other daemon.
+pub fn other_daemon(simulation: &BatchSimulation, known: &[usize]) -> usize {
+    let mut daemons = 0..simulation.daemon_count();
+    let other = daemons.find(|daemon| !known.contains(daemon));
+    other.expect("there is another daemon")
+}
+
 /// Returns the workers that run a task.
 pub fn busy_workers(simulation: &BatchSimulation) -> Vec<WorkerName> {
     let workers = simulation.workers.iter();
