--- a/standin/tests/batch_interleavings.rs
+++ b/standin/tests/batch_interleavings.rs
@@ -29,7 +29,7 @@
 /// Number of seeds with region cuts of a run in CI.
 const REGION_CUT_SEED_COUNT: u64 = 200;
 
-/// Factor on the run times of tasks with region cuts, which outlast most runs otherwise.
+/// Factor on the run times of tasks with region cuts. Without it, most runs would end during a cut.
 const REGION_CUT_RUN_TIME_FACTOR: u64 = 3;
 
 /// Seeds that have found a fault:
